Add peer links, gossip of facts and failure detection

Cause: nodes must act together with no coordinator and a small store budget; nothing let one node learn anything from another.

Weighed: a full mesh of heartbeats (bytes a node grow with the fleet), a list kept in the store (store calls grow with the fleet), and gossip. Taken: failure detection after SWIM with patience after Lifeguard, and one table of versioned facts that spreads by rumour mongering plus hash comparison. One mechanism carries members, leaving servers, deaths and revisions.

--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/gossip/spreader.py
@@ -0,0 +1,177 @@
+"""Spreading facts: news at once to a few, the rest by comparing tables."""
+
+import asyncio
+import logging
+
+from ..exceptions import PeerError
+from .facts import Fact
+from .messages import Fetch, Push, SyncAnswer, SyncAsk
+from .table import BUCKETS
+
+log = logging.getLogger("gossip")
+
+FANOUT = 4
+URGENT_PAUSE_MS = 10.0
+PAUSE_MS = 500.0
+SYNC_TIMEOUT_MS = 1_000.0
+MOST_FACTS_IN_PUSH = 500
+
+
+class Spreader:
+    """Tells peers what is new and finds what was missed.
+
+    News goes once to ``FANOUT`` random peers, which pass it on (rumour mongering); what that
+    misses is found by comparing hashes with a random peer (anti-entropy). Both after A. Demers et
+    al., "Epidemic algorithms for replicated database maintenance", 1987.
+
+    :param table: :class:`~auburnhollow.gossip.Table`.
+    :param peers: :class:`~auburnhollow.peers.Peers`.
+    :param address: peer address of this node.
+    :param targets: function that returns the addresses of all other live nodes.
+    :param random: a :class:`random.Random`.
+    :param urgent: kinds that are passed on at once.
+    """
+
+    __slots__ = (
+        "_address",
+        "_clock",
+        "_due_ms",
+        "_metrics",
+        "_news",
+        "_peers",
+        "_random",
+        "_table",
+        "_targets",
+        "_urgent",
+        "_wake",
+    )
+
+    def __init__(self, table, peers, address, targets, random, clock, metrics, urgent=()):
+        self._table = table
+        self._peers = peers
+        self._address = address
+        self._targets = targets
+        self._random = random
+        self._clock = clock
+        self._metrics = metrics
+        self._urgent = frozenset(urgent)
+        self._news = {}
+        self._due_ms = None
+        self._wake = asyncio.Event()
+
+    def publish(self, fact):
+        """Take a fact of this node and spread it.
+
+        :returns: whether it was news.
+        """
+        return self._take(fact, None)
+
+    def take(self, facts, sender):
+        """Take facts from a peer, pass on what is news, and return how many were."""
+        taken = 0
+        for values in facts:
+            taken += self._take(Fact.from_list(values), sender)
+        return taken
+
+    async def run(self):
+        """Pass news on until cancelled."""
+        while True:
+            if self._due_ms is None:
+                self._wake.clear()
+                await self._wake.wait()
+            pause_ms = self._due_ms - self._clock.now_ms()
+            if pause_ms > 0:
+                await self._wait(pause_ms)
+                continue
+            self._push()
+
+    async def sync(self, address):
+        """Compare tables with one peer and exchange what differs.
+
+        :raises PeerError: when the peer does not answer.
+        """
+        self._metrics.incr("gossip.syncs")
+        ask = SyncAsk(sender=self._address, buckets=self._table.buckets)
+        answer = await self._peers.ask(address, ask, SYNC_TIMEOUT_MS)
+        wanted, offered = self._compare(answer)
+        if offered:
+            self._send(address, offered)
+        if wanted:
+            fetch = Fetch(sender=self._address, places=wanted)
+            got = await self._peers.ask(address, fetch, SYNC_TIMEOUT_MS)
+            self.take(got.facts, address)
+
+    async def on_push(self, message):
+        """Take a :class:`Push`."""
+        self.take(message.facts, message.sender)
+
+    async def on_sync_ask(self, message):
+        """Answer a :class:`SyncAsk`."""
+        if len(message.buckets) != BUCKETS:
+            raise PeerError(f"{BUCKETS} buckets expected")
+        differing = []
+        held = []
+        for number, value in enumerate(self._table.buckets):
+            if value == message.buckets[number]:
+                continue
+            differing.append(number)
+            for fact in self._table.in_bucket(number):
+                held.append([fact.kind, fact.key, fact.version])
+        return SyncAnswer(sender=self._address, buckets=differing, held=held)
+
+    async def on_fetch(self, message):
+        """Answer a :class:`Fetch`."""
+        facts = []
+        for kind, key in message.places:
+            fact = self._table.get(kind, key)
+            if fact is not None:
+                facts.append(fact.to_list())
+        return Push(sender=self._address, facts=facts)
+
+    def _take(self, fact, sender):
+        if not self._table.put(fact, sender):
+            return False
+        self._news[fact.place] = fact
+        pause_ms = URGENT_PAUSE_MS if fact.kind in self._urgent else PAUSE_MS
+        due_ms = self._clock.now_ms() + pause_ms
+        if self._due_ms is None or due_ms < self._due_ms:
+            self._due_ms = due_ms
+            self._wake.set()
+        return True
+
+    async def _wait(self, pause_ms):
+        self._wake.clear()
+        try:
+            async with self._clock.timeout(pause_ms):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    def _push(self):
+        news, self._news = list(self._news.values()), {}
+        self._due_ms = None
+        targets = self._targets()
+        chosen = self._random.sample(targets, min(FANOUT, len(targets)))
+        for address in chosen:
+            self._send(address, news)
+
+    def _send(self, address, facts):
+        for start in range(0, len(facts), MOST_FACTS_IN_PUSH):
+            part = [fact.to_list() for fact in facts[start : start + MOST_FACTS_IN_PUSH]]
+            self._metrics.incr("gossip.facts_sent", len(part))
+            self._peers.tell(address, Push(sender=self._address, facts=part))
+
+    def _compare(self, answer):
+        """Return the places to fetch and the facts to offer."""
+        theirs = {(kind, key): version for kind, key, version in answer.held}
+        wanted = []
+        for place, version in theirs.items():
+            known = self._table.get(*place)
+            if known is None or known.version < version:
+                wanted.append(list(place))
+        offered = []
+        for number in answer.buckets:
+            for fact in self._table.in_bucket(number):
+                if theirs.get(fact.place, -1) < fact.version:
+                    offered.append(fact)
+        return wanted, offered
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/membership/__init__.py
@@ -0,0 +1,6 @@
+"""Which nodes there are and which of them are alive."""
+
+from .detector import Membership
+from .members import ALIVE, DEAD, LEFT, SUSPECT, Member
+
+__all__ = ["ALIVE", "DEAD", "LEFT", "SUSPECT", "Member", "Membership"]
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/membership/detector.py
@@ -0,0 +1,309 @@
+"""Failure detection among nodes."""
+
+import asyncio
+import logging
+import math
+
+from ..exceptions import PeerError
+from .members import ALIVE, DEAD, KIND, LEFT, SUSPECT, Member, fact_of, member_of
+from .messages import Ack, Ping, PingRequest
+
+log = logging.getLogger("membership")
+
+PERIOD_MS = 1_000.0
+PING_TIMEOUT_MS = 400.0
+INDIRECT_TIMEOUT_MS = 900.0
+INDIRECT_PEERS = 3
+SUSPECT_PERIODS = 3.0
+PAUSED_FACTOR = 2.0
+REVIVE_EVERY_MS = 10_000.0
+MOST_HEALTH = 8
+
+
+class Membership:
+    """Keeps the list of nodes.
+
+    Each period one node is pinged, through others where it does not answer; one that does not
+    answer at all becomes a suspect, and is declared dead unless it speaks up (SWIM: A. Das et
+    al., 2002). An observer that was itself paused, or missed answers lately, gives others more
+    time (after Lifeguard: A. Dadgar et al., 2018). Dead nodes are pinged now and then, so that
+    two sides of a partition find each other again. Nothing that must hold rests on two nodes
+    having the same list.
+
+    :param me: the :class:`Member` of this node, with incarnation from its start.
+    :param spreader: :class:`~auburnhollow.gossip.Spreader`.
+    :param table: :class:`~auburnhollow.gossip.Table`.
+    :param peers: :class:`~auburnhollow.peers.Peers`.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_health",
+        "_me",
+        "_members",
+        "_metrics",
+        "_on_change",
+        "_order",
+        "_peers",
+        "_present",
+        "_random",
+        "_revived_ms",
+        "_spreader",
+        "_stale",
+        "_suspected_ms",
+        "_syncing",
+        "_table",
+        "_targets",
+        "_tasks",
+    )
+
+    def __init__(self, me, table, peers, clock, random, events, metrics):
+        self._me = me
+        self._table = table
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._events = events
+        self._metrics = metrics
+        self._spreader = None
+        self._members = {me.id: me}
+        self._present = (me.id,)
+        self._targets = []
+        self._order = []
+        self._suspected_ms = {}
+        self._health = 0
+        self._revived_ms = None
+        self._stale = False
+        self._syncing = False
+        self._tasks = set()
+        self._on_change = []
+        table.on(KIND, self._take)
+
+    @property
+    def me(self):
+        """The :class:`Member` of this node."""
+        return self._me
+
+    @property
+    def members(self):
+        """All known members by id, dead ones too for a while."""
+        return self._members
+
+    def present(self):
+        """Return the ids of the live nodes; the same tuple until one comes or goes."""
+        self._recount()
+        return self._present
+
+    def answering(self):
+        """Return the ids of the live nodes that are no suspects."""
+        return [node for node in self.present() if self._members[node].state == ALIVE]
+
+    def targets(self):
+        """Return the peer addresses of all other live nodes."""
+        self._recount()
+        return self._targets
+
+    def on_change(self, function):
+        """Call ``function`` after a node came or went."""
+        self._on_change.append(function)
+
+    def join(self, spreader):
+        """Make this node known."""
+        self._spreader = spreader
+        spreader.publish(fact_of(self._me, self._clock.wall_ms()))
+
+    def announce(self, **changes):
+        """Publish a change of this node, such as ``revision`` or ``ready``."""
+        for name, value in changes.items():
+            setattr(self._me, name, value)
+        self._me.incarnation += 1
+        self._spreader.publish(fact_of(self._me, self._clock.wall_ms()))
+
+    def leave(self):
+        """Tell the peers that this node goes for good."""
+        self.announce(state=LEFT, ready=False)
+
+    async def contact(self, address):
+        """Exchange facts with a node that is not known yet.
+
+        :raises PeerError: when it does not answer.
+        """
+        await self._spreader.sync(address)
+
+    async def run(self):
+        """Watch the other nodes until cancelled."""
+        while True:
+            started_ms = self._clock.now_ms()
+            await self._probe_next()
+            self._judge()
+            self._revive()
+            self._table.expire()
+            spent_ms = self._clock.now_ms() - started_ms
+            await self._clock.sleep(PERIOD_MS * self._random.uniform(0.9, 1.1) - spent_ms)
+
+    async def on_ping(self, message):
+        """Answer a :class:`Ping`."""
+        self._spreader.take(message.facts, message.sender)
+        return Ack(node=self._me.id, digest=self._table.digest)
+
+    async def on_ping_request(self, message):
+        """Ping another node for a peer; an error says that it did not answer."""
+        return await self._ping(message.address, PING_TIMEOUT_MS)
+
+    async def _probe_next(self):
+        member = self._next()
+        if member is None:
+            return
+        started_ms = self._clock.now_ms()
+        timeout_ms = PING_TIMEOUT_MS * (1 + self._health)
+        try:
+            answer = await self._ping(member.address, timeout_ms)
+        except PeerError:
+            if await self._probe_indirectly(member):
+                self._health = max(0, self._health - 1)
+                return
+            self._missed(member, self._clock.now_ms() - started_ms, timeout_ms)
+            return
+        self._health = max(0, self._health - 1)
+        if answer.node == member.id:
+            self._suspected_ms.pop(member.id, None)
+        if answer.digest != self._table.digest:
+            self._start_sync(member.address)
+
+    async def _ping(self, address, timeout_ms):
+        facts = [fact_of(self._me, self._clock.wall_ms()).to_list()]
+        ping = Ping(sender=self._me.address, digest=self._table.digest, facts=facts)
+        return await self._peers.ask(address, ping, timeout_ms)
+
+    async def _probe_indirectly(self, member):
+        others = [address for address in self.targets() if address != member.address]
+        chosen = self._random.sample(others, min(INDIRECT_PEERS, len(others)))
+        if not chosen:
+            return False
+        request = PingRequest(address=member.address)
+        timeout_ms = INDIRECT_TIMEOUT_MS * (1 + self._health)
+        asks = [self._peers.ask(address, request, timeout_ms) for address in chosen]
+        answers = await asyncio.gather(*asks, return_exceptions=True)
+        return any(isinstance(answer, Ack) for answer in answers)
+
+    def _missed(self, member, spent_ms, timeout_ms):
+        allowed_ms = timeout_ms + INDIRECT_TIMEOUT_MS * (1 + self._health)
+        if spent_ms > allowed_ms * PAUSED_FACTOR:
+            # This process stood still: the silence says nothing about the other one.
+            self._metrics.incr("membership.paused")
+            return
+        self._health = min(MOST_HEALTH, self._health + 1)
+        current = self._members.get(member.id)
+        if current is None or current.state != ALIVE:
+            return
+        log.info("membership: %s does not answer", member.id)
+        self._publish(current, SUSPECT)
+
+    def _publish(self, member, state):
+        changed = Member.from_list(member.to_list())
+        changed.state = state
+        self._spreader.publish(fact_of(changed, self._clock.wall_ms()))
+
+    def _judge(self):
+        """Declare dead the suspects that have not spoken up in time."""
+        now_ms = self._clock.now_ms()
+        patience_ms = PERIOD_MS * SUSPECT_PERIODS * max(1.0, math.log10(len(self.present())))
+        patience_ms *= 1 + self._health
+        for node, since_ms in list(self._suspected_ms.items()):
+            member = self._members.get(node)
+            if member is None or member.state != SUSPECT:
+                del self._suspected_ms[node]
+                continue
+            if now_ms - since_ms > patience_ms:
+                self._publish(member, DEAD)
+
+    def _revive(self):
+        """Now and then ask one dead node whether it is back."""
+        now_ms = self._clock.now_ms()
+        if self._revived_ms is None:
+            self._revived_ms = now_ms + self._random.uniform(0, REVIVE_EVERY_MS)
+        if now_ms < self._revived_ms:
+            return
+        self._revived_ms = now_ms + REVIVE_EVERY_MS
+        dead = [member for member in self._members.values() if member.state == DEAD]
+        if dead:
+            self._start_sync(self._random.choice(dead).address)
+
+    def _next(self):
+        while self._order:
+            member = self._members.get(self._order.pop())
+            if member is not None and member.is_present and member.id != self._me.id:
+                return member
+        self._order = [node for node in self.present() if node != self._me.id]
+        self._random.shuffle(self._order)
+        return self._members.get(self._order.pop()) if self._order else None
+
+    def _start_sync(self, address):
+        if self._syncing:
+            return
+        self._syncing = True
+        task = asyncio.get_running_loop().create_task(self._sync(address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _sync(self, address):
+        try:
+            await self._spreader.sync(address)
+        except PeerError as error:
+            log.debug("membership: no exchange with %s: %s", address, error)
+        finally:
+            self._syncing = False
+
+    def _take(self, fact):
+        member = member_of(fact)
+        if member.id == self._me.id:
+            self._defend(member)
+            return
+        before = self._members.get(member.id)
+        self._members[member.id] = member
+        if member.state == SUSPECT:
+            self._suspected_ms.setdefault(member.id, self._clock.now_ms())
+        else:
+            self._suspected_ms.pop(member.id, None)
+        was_present = before is not None and before.is_present
+        if was_present != member.is_present:
+            self._changed(member)
+        elif member.is_present and before.address != member.address:
+            self._stale = True
+
+    def _defend(self, claimed):
+        """Contradict what others say of this node when it is not so."""
+        if claimed.state == self._me.state and claimed.incarnation <= self._me.incarnation:
+            return
+        if self._me.state == LEFT:
+            return
+        self._metrics.incr("membership.defended")
+        self._me.incarnation = claimed.incarnation
+        # The listener runs inside put(): publish once that is over.
+        asyncio.get_running_loop().call_soon(self.announce)
+
+    def _changed(self, member):
+        self._stale = True
+        log.info("membership: %s is %s", member.id, member.state)
+        self._events.record("member", node=member.id, state=member.state)
+        for function in self._on_change:
+            function()
+
+    def _recount(self):
+        """Count again who is present, if somebody came or went since the last time."""
+        if not self._stale:
+            return
+        self._stale = False
+        present = {node for node, member in self._members.items() if member.is_present}
+        present.add(self._me.id)
+        self._present = tuple(sorted(present))
+        self._targets = [
+            self._members[node].address for node in self._present if node != self._me.id
+        ]
+
+    def forget_gone(self):
+        """Drop members whose facts have expired."""
+        for node in list(self._members):
+            if node != self._me.id and self._table.get(KIND, node) is None:
+                del self._members[node]
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/membership/members.py
@@ -0,0 +1,55 @@
+"""Members as facts."""
+
+from ..gossip import Fact
+from ..records import Record
+
+KIND = "member"
+
+ALIVE = "alive"
+SUSPECT = "suspect"
+DEAD = "dead"
+LEFT = "left"
+
+STATES = (ALIVE, SUSPECT, DEAD, LEFT)
+GONE_KEPT_MS = 7_200_000
+
+
+class Member(Record):
+    """A node as its peers know it.
+
+    ``incarnation`` is raised by the node itself alone; ``revision`` is the configuration that the
+    node runs; ``ready`` tells whether it takes requests.
+    """
+
+    __slots__ = ("id", "address", "data_centre", "state", "incarnation", "revision", "ready")
+
+    @property
+    def is_present(self):
+        """Whether the node counts as live: a suspect does until it is declared dead."""
+        return self.state in (ALIVE, SUSPECT)
+
+
+def fact_of(member, wall_ms):
+    """Return the fact of a member.
+
+    At one incarnation a worse state wins, as in SWIM (A. Das et al., 2002).
+    """
+    version = member.incarnation * len(STATES) + STATES.index(member.state)
+    expires_ms = 0 if member.is_present else wall_ms + GONE_KEPT_MS
+    value = [member.address, member.data_centre, member.revision, member.ready]
+    return Fact(kind=KIND, key=member.id, version=version, value=value, expires_ms=expires_ms)
+
+
+def member_of(fact):
+    """Return the member that a fact tells of."""
+    incarnation, state = divmod(fact.version, len(STATES))
+    address, data_centre, revision, ready = fact.value
+    return Member(
+        id=fact.key,
+        address=address,
+        data_centre=data_centre,
+        state=STATES[state],
+        incarnation=incarnation,
+        revision=revision,
+        ready=ready,
+    )
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/peers/codec.py
@@ -0,0 +1,82 @@
+"""Messages as msgpack."""
+
+import msgpack
+
+from ..exceptions import ProtocolError
+from ..records import Record
+
+LONGEST_MESSAGE = 2 * 1024 * 1024
+NO_ANSWER = 0
+
+_TYPES = {}
+_NAMES = {}
+
+
+class Message(Record):
+    """A message between nodes; its fields are what msgpack can hold."""
+
+    __slots__ = ()
+
+
+def register(name):
+    """Class decorator: let a :class:`Message` travel under ``name``."""
+
+    def add(message_type):
+        _TYPES[name] = message_type
+        _NAMES[message_type] = name
+        return message_type
+
+    return add
+
+
+@register("failure")
+class Failure(Message):
+    """The peer could not answer; ``text`` says why."""
+
+    __slots__ = ("text",)
+
+
+@register("done")
+class Done(Message):
+    """The peer took the message and has nothing to say."""
+
+    __slots__ = ()
+
+
+def pack(message, number=NO_ANSWER):
+    """Return the bytes of a message.
+
+    :param number: ties an answer to its question; 0 when none is expected.
+    """
+    return msgpack.packb([_NAMES[type(message)], number, message.to_list()])
+
+
+def unpack(frame):
+    """Return ``(message, number)`` from what the unpacker gave.
+
+    :raises ProtocolError: when it is not a message.
+    """
+    try:
+        name, number, fields = frame
+        return _TYPES[name].from_list(fields), number
+    except (KeyError, TypeError, ValueError) as error:
+        raise ProtocolError(f"not a message: {error!r}") from error
+
+
+def new_unpacker():
+    """Return a streaming unpacker that bounds what one message may hold."""
+    return msgpack.Unpacker(max_buffer_size=LONGEST_MESSAGE, strict_map_key=False)
+
+
+def feed(unpacker, data):
+    """Feed bytes to the unpacker and return the list of ``(message, number)`` that are whole.
+
+    :raises ProtocolError: when the bytes are not messages.
+    """
+    try:
+        unpacker.feed(data)
+        return [unpack(frame) for frame in unpacker]
+    except ProtocolError:
+        raise
+    except Exception as error:
+        raise ProtocolError(f"not msgpack: {error!r}") from error
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/peers/link.py
@@ -0,0 +1,261 @@
+"""Streams between nodes."""
+
+import asyncio
+import itertools
+import logging
+
+from ..clock import Clock
+from ..exceptions import AuburnhollowError, PeerError, ProtocolError
+from .codec import NO_ANSWER, Done, Failure, feed, new_unpacker, pack
+
+log = logging.getLogger("peers")
+
+READ_BYTES = 65_536
+CONNECT_TIMEOUT_MS = 1_000.0
+MOST_CONNECTIONS = 48
+MOST_IN_PROGRESS = 256
+
+
+class Peers:
+    """What the other parts need to reach other nodes."""
+
+    __slots__ = ()
+
+    async def ask(self, address, message, timeout_ms):
+        """Send a message and return the answer.
+
+        :param address: ``host:port`` of the peer.
+        :raises PeerError: when there is none in time; the peer may have acted on it.
+        """
+        raise NotImplementedError
+
+    def tell(self, address, message):
+        """Send a message, if it can be sent; nobody learns whether it arrived."""
+        raise NotImplementedError
+
+
+class _Connection:
+    """A connection to one peer and the questions that wait on it."""
+
+    __slots__ = ("numbers", "reader_task", "waiting", "writer")
+
+    def __init__(self, writer):
+        self.writer = writer
+        self.numbers = itertools.count(NO_ANSWER + 1)
+        self.waiting = {}
+        self.reader_task = None
+
+
+class PeerLink(Peers):
+    """Connections to other nodes, opened when needed, the oldest closed first.
+
+    :param clock: :class:`~auburnhollow.clock.Clock`.
+    :param metrics: :class:`~auburnhollow.metrics.Metrics`.
+    """
+
+    __slots__ = ("_clock", "_connections", "_metrics", "_opening", "_tasks")
+
+    def __init__(self, metrics, clock=None):
+        self._clock = clock or Clock()
+        self._metrics = metrics
+        self._connections = {}
+        self._opening = {}
+        self._tasks = set()
+
+    async def ask(self, address, message, timeout_ms):
+        """Send a message and return the answer."""
+        try:
+            async with self._clock.timeout(timeout_ms):
+                connection = await self._connection(address)
+                answer = await self._exchange(address, connection, message)
+        except TimeoutError:
+            raise PeerError(f"{address}: no answer in {timeout_ms:.0f} ms") from None
+        except OSError as error:
+            raise PeerError(f"{address}: {error!r}") from error
+        if isinstance(answer, Failure):
+            raise PeerError(f"{address}: {answer.text}")
+        return answer
+
+    def tell(self, address, message):
+        """Send a message without an answer."""
+        task = asyncio.get_running_loop().create_task(self._tell(address, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self):
+        """Close all connections."""
+        for task in self._tasks:
+            task.cancel()
+        for address in list(self._connections):
+            self._drop(address)
+
+    async def _tell(self, address, message):
+        try:
+            async with self._clock.timeout(CONNECT_TIMEOUT_MS):
+                connection = await self._connection(address)
+                self._write(connection, pack(message))
+                await connection.writer.drain()
+        except (TimeoutError, OSError):
+            self._metrics.incr("peers.lost")
+
+    async def _exchange(self, address, connection, message):
+        number = next(connection.numbers)
+        waiter = asyncio.get_running_loop().create_future()
+        connection.waiting[number] = waiter
+        try:
+            self._write(connection, pack(message, number))
+            return await waiter
+        except asyncio.CancelledError:
+            # A connection that does not answer may have gone silent: the next call opens anew.
+            if self._connections.get(address) is connection and not waiter.done():
+                self._drop(address)
+            raise
+        finally:
+            connection.waiting.pop(number, None)
+
+    def _write(self, connection, data):
+        self._metrics.incr("peers.sent")
+        self._metrics.incr("peers.sent_bytes", len(data))
+        connection.writer.write(data)
+
+    async def _connection(self, address):
+        connection = self._connections.pop(address, None)
+        if connection is not None and not connection.writer.is_closing():
+            self._connections[address] = connection
+            return connection
+        opening = self._opening.get(address)
+        if opening is None:
+            opening = asyncio.get_running_loop().create_task(self._open(address))
+            self._opening[address] = opening
+            opening.add_done_callback(lambda _task: self._opening.pop(address, None))
+        return await asyncio.shield(opening)
+
+    async def _open(self, address):
+        host, _, port = address.rpartition(":")
+        try:
+            async with self._clock.timeout(CONNECT_TIMEOUT_MS):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except TimeoutError:
+            raise ConnectionError(f"{address}: no connection") from None
+        connection = _Connection(writer)
+        connection.reader_task = asyncio.get_running_loop().create_task(
+            self._read(address, reader, connection)
+        )
+        self._connections[address] = connection
+        while len(self._connections) > MOST_CONNECTIONS:
+            self._drop(next(iter(self._connections)))
+        return connection
+
+    async def _read(self, address, reader, connection):
+        unpacker = new_unpacker()
+        try:
+            while data := await reader.read(READ_BYTES):
+                self._metrics.incr("peers.received_bytes", len(data))
+                for message, number in feed(unpacker, data):
+                    waiter = connection.waiting.get(number)
+                    if waiter is not None and not waiter.done():
+                        waiter.set_result(message)
+        except (OSError, ProtocolError) as error:
+            log.warning("peers: connection to %s ended: %s", address, error)
+        finally:
+            if self._connections.get(address) is connection:
+                self._drop(address)
+            self._fail(connection, address)
+
+    def _drop(self, address):
+        connection = self._connections.pop(address)
+        connection.writer.close()
+        if connection.reader_task is not asyncio.current_task():
+            connection.reader_task.cancel()
+
+    def _fail(self, connection, address):
+        for waiter in connection.waiting.values():
+            if not waiter.done():
+                waiter.set_exception(ConnectionError(f"{address}: connection lost"))
+
+
+class PeerServer:
+    """Takes messages from other nodes, one task for each connection.
+
+    :param metrics: :class:`~auburnhollow.metrics.Metrics`.
+
+    >>> server.on(Ping, handle_ping)
+    >>> await server.start("10.0.0.5", 8100)
+    """
+
+    __slots__ = ("_handlers", "_metrics", "_server", "_tasks")
+
+    def __init__(self, metrics):
+        self._handlers = {}
+        self._metrics = metrics
+        self._server = None
+        self._tasks = set()
+
+    def on(self, message_type, handler):
+        """Let ``handler`` answer messages of one type.
+
+        :param handler: coroutine function of the message that returns the answer or ``None``.
+        """
+        self._handlers[message_type] = handler
+
+    async def start(self, host, port):
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def close(self):
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def handle(self, message):
+        """Return the answer to one message."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return Failure(text=f"{type(message).__name__} is not taken here")
+        try:
+            return await handler(message) or Done()
+        except AuburnhollowError as error:
+            return Failure(text=f"{type(error).__name__}: {error}")
+
+    async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        answers = set()
+        try:
+            await self._read(reader, writer, answers)
+        except ProtocolError as error:
+            self._metrics.incr("peers.garbage")
+            log.warning("peers: closed a connection from outside: %s", error)
+        except OSError:
+            self._metrics.incr("peers.lost")
+        except asyncio.CancelledError:
+            # The server closes: end quietly, the caller of close() waits for nothing.
+            log.debug("peers: connection closed")
+        finally:
+            self._tasks.discard(task)
+            for answer in answers:
+                answer.cancel()
+            writer.close()
+
+    async def _read(self, reader, writer, answers):
+        unpacker = new_unpacker()
+        while data := await reader.read(READ_BYTES):
+            self._metrics.incr("peers.received_bytes", len(data))
+            for message, number in feed(unpacker, data):
+                self._metrics.incr("peers.received")
+                while len(answers) >= MOST_IN_PROGRESS:
+                    await asyncio.wait(answers, return_when=asyncio.FIRST_COMPLETED)
+                answer = asyncio.create_task(self._answer(writer, message, number))
+                answers.add(answer)
+                answer.add_done_callback(answers.discard)
+
+    async def _answer(self, writer, message, number):
+        answer = await self.handle(message)
+        if number == NO_ANSWER or writer.is_closing():
+            return
+        data = pack(answer, number)
+        self._metrics.incr("peers.sent_bytes", len(data))
+        writer.write(data)
+        await writer.drain()
