Run orders at most once by claims in the store

Cause: callers retry through any node, nodes forget at restart and backend servers do not deduplicate, so only a durable claim before the send holds.

Weighed: a lease per key (no fence when its holder is paused), one record a claim (one store write an order, over the store's budget), and records by key range and minute of issue, batched by the node that ranks first for the range. Taken: the last. The compare-and-swap is the fence; ownership only saves conflicts. A claim names its attempt, so a lost answer is read back, and an attempt that its node gave up for good can be replaced.

`ran` speaks of the key: a refusal before the claim is read says "no" only when the caller knows that its earlier tries did not run.

Found by test: a caller behind a paused claimer waited 1,000 of its 1,000 ms. Cause: the claimer was asked with half the deadline to wait. Now it is asked for its state first (300 ms), and waited for only when it is there.

--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/once/tests/test_at_most_once.py
@@ -0,0 +1,252 @@
+"""Promise: a request that may not be repeated runs at most once."""
+
+import asyncio
+
+import pytest
+
+from auburnhollow.exceptions import (
+    BadRequest,
+    DeadlinePassed,
+    KeyExpired,
+    KeyReused,
+    OutcomeUnknown,
+    Ran,
+    Unavailable,
+)
+from auburnhollow.once import parse_key
+from auburnhollow_standins.histories import record_history
+from auburnhollow_standins.virtual import run_virtually
+from auburnhollow_standins.virtual_fleet import document_of, virtual_fleet
+
+SEEDS = 200
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_random_histories(seed):
+    assert run_virtually(record_history(seed)).violations() == []
+
+
+def test_many_nodes_and_one_key_run_it_once_and_all_get_the_outcome():
+    async def run():
+        async with virtual_fleet(nodes=7) as fleet:
+            await fleet.clock.sleep(2_000)
+            order = fleet.order_of(fleet.new_key())
+            asks = [entry.node.orders.run(order) for entry in fleet.nodes.values()]
+            results = await asyncio.gather(*asks)
+        assert len(fleet.ran_orders()) == 1
+        assert {tuple(result.outcome.items())[0] for result in results} == {
+            ("by", results[0].outcome["by"])
+        }
+
+    run_virtually(run())
+
+
+def test_a_restart_of_the_whole_fleet_keeps_the_outcome():
+    async def run():
+        async with virtual_fleet(nodes=3) as fleet:
+            order = fleet.order_of(fleet.new_key())
+            first = await fleet.nodes["n0"].node.orders.run(order)
+            await fleet.clock.sleep(2_000)
+            for name in list(fleet.nodes):
+                await fleet.kill(name)
+            again = fleet.add("m0")
+            await again.node.start()
+            second = await again.node.orders.run(order)
+        assert second.replayed
+        assert second.outcome == first.outcome
+        assert len(fleet.ran_orders()) == 1
+
+    run_virtually(run())
+
+
+def test_a_node_that_dies_while_sending_leaves_an_unknown_outcome_for_good():
+    async def run():
+        async with virtual_fleet(nodes=3) as fleet:
+            await fleet.clock.sleep(2_000)
+            for server in fleet.servers.values():
+                server.always = "slow"
+            order = fleet.order_of(fleet.new_key())
+            asked = asyncio.create_task(fleet.nodes["n0"].node.orders.run(order))
+            await fleet.clock.sleep(50)
+            await fleet.kill("n0")
+            asked.cancel()
+            for _ in range(3):
+                with pytest.raises(OutcomeUnknown) as caught:
+                    await fleet.nodes["n1"].node.orders.run(order)
+                assert caught.value.ran is Ran.UNKNOWN
+                await fleet.clock.sleep(3_000)
+        assert len(fleet.ran_orders()) <= 1
+
+    run_virtually(run())
+
+
+def test_a_claimer_paused_past_every_timeout_does_not_let_another_send():
+    async def run():
+        async with virtual_fleet(nodes=3) as fleet:
+            await fleet.clock.sleep(2_000)
+            order = fleet.order_of(fleet.new_key())
+            asked = asyncio.create_task(fleet.nodes["n0"].node.orders.run(order))
+            while not any(key.startswith("once/") for key in fleet.shared.entries):
+                await fleet.clock.sleep(0.5)
+            fleet.nodes["n0"].pausable.pause()
+            for _ in range(5):
+                with pytest.raises(OutcomeUnknown):
+                    await fleet.nodes["n1"].node.orders.run(order)
+                await fleet.clock.sleep(4_000)
+            fleet.nodes["n0"].pausable.resume()
+            await asyncio.gather(asked, return_exceptions=True)
+            await fleet.clock.sleep(8_000)
+        assert len(fleet.ran_orders()) <= 1
+
+    run_virtually(run())
+
+
+def test_a_given_up_attempt_frees_the_key_and_says_not_run():
+    async def run():
+        async with virtual_fleet(nodes=3) as fleet:
+            await fleet.clock.sleep(2_000)
+            for server in fleet.servers.values():
+                server.always = "unreachable"
+            order = fleet.order_of(fleet.new_key())
+            with pytest.raises(Unavailable) as caught:
+                await fleet.nodes["n0"].node.orders.run(order)
+            assert caught.value.ran is Ran.NO
+            for server in fleet.servers.values():
+                server.always = "answer"
+            result = await fleet.nodes["n1"].node.orders.run(order)
+        assert not result.replayed
+        assert len(fleet.ran_orders()) == 1
+
+    run_virtually(run())
+
+
+@pytest.mark.parametrize("losses", [1, 2])
+def test_a_claim_whose_answer_was_lost_is_read_back(losses):
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            fleet.shared.lose_answer_chance = 1.0
+            order = fleet.order_of(fleet.new_key())
+            result = await fleet.nodes["n0"].node.orders.run(order)
+            for _ in range(losses):
+                again = await fleet.nodes["n0"].node.orders.run(order)
+                assert again.outcome == result.outcome
+        assert len(fleet.ran_orders()) == 1
+
+    run_virtually(run())
+
+
+# What the caller knows of its earlier tries, and what a refusal before the claim may say.
+EARLIER = [("none", Ran.NO), ("not-run", Ran.NO), ("unknown", Ran.UNKNOWN)]
+
+
+@pytest.mark.parametrize(("earlier", "ran"), EARLIER)
+def test_with_the_store_down_claims_are_refused_at_once(earlier, ran):
+    async def run():
+        async with virtual_fleet(nodes=2) as fleet:
+            fleet.shared.is_down = True
+            started_ms = fleet.clock.now_ms()
+            with pytest.raises(Unavailable) as caught:
+                order = fleet.order_of(fleet.new_key(), earlier=earlier)
+                await fleet.nodes["n0"].node.orders.run(order)
+            assert fleet.clock.now_ms() - started_ms < 100
+            assert caught.value.ran is ran
+            assert caught.value.retry_after_ms > 0
+        assert fleet.ran_orders() == []
+
+    run_virtually(run())
+
+
+def test_one_key_with_another_body_is_refused_on_every_node():
+    async def run():
+        async with virtual_fleet(nodes=2) as fleet:
+            key = fleet.new_key()
+            await fleet.nodes["n0"].node.orders.run(fleet.order_of(key))
+            for entry in fleet.nodes.values():
+                with pytest.raises(KeyReused):
+                    await entry.node.orders.run(fleet.order_of(key, order={"other": 1}))
+        assert len(fleet.ran_orders()) == 1
+
+    run_virtually(run())
+
+
+def test_the_same_key_of_another_caller_and_the_same_body_under_another_key_run_too():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            orders = fleet.nodes["n0"].node.orders
+            key = fleet.new_key()
+            body = {"machine": 7}
+            await orders.run(fleet.order_of(key, order=body))
+            await orders.run(fleet.order_of(key, caller="other", order=body))
+            await orders.run(fleet.order_of(fleet.new_key(), order=body))
+        assert len(fleet.ran_orders()) == 3
+
+    run_virtually(run())
+
+
+@pytest.mark.parametrize("age_ms", [600_001, 86_400_000, -120_000])
+def test_a_key_outside_the_window_is_refused_and_nothing_is_promised_of_it(age_ms):
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            with pytest.raises(KeyExpired) as caught:
+                await fleet.nodes["n0"].node.orders.run(fleet.order_of(fleet.new_key(age_ms)))
+            assert caught.value.ran is Ran.UNKNOWN
+        assert fleet.ran_orders() == []
+
+    run_virtually(run())
+
+
+def test_a_node_whose_clock_is_behind_does_not_run_a_forgotten_key_again():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            key = fleet.new_key()
+            await fleet.nodes["n0"].node.orders.run(fleet.order_of(key))
+            await fleet.clock.sleep(1_200_000)
+            late = fleet.add("late", skew_ms=-1_100_000)
+            await late.node.start()
+            result = await late.node.orders.run(fleet.order_of(key))
+        assert result.replayed
+        assert len(fleet.ran_orders()) == 1
+
+    run_virtually(run())
+
+
+@pytest.mark.parametrize("text", ["", None, "abc", "123.abcdefgh", "1800000000000.short"])
+def test_keys_of_another_form_are_refused(text):
+    with pytest.raises(BadRequest):
+        parse_key("caller", text)
+
+
+def test_a_caller_that_stops_waiting_finds_the_order_again():
+    async def run():
+        async with virtual_fleet(document_of(shards=1), nodes=2) as fleet:
+            await fleet.clock.sleep(2_000)
+            for server in fleet.servers.values():
+                server.latency_ms = 400.0
+            key = fleet.new_key()
+            with pytest.raises(DeadlinePassed) as caught:
+                asked = fleet.nodes["n0"].node.orders.run(fleet.order_of(key, deadline_ms=401.0))
+                await asked
+            assert caught.value.ran is Ran.UNKNOWN
+            await fleet.clock.sleep(1_000)
+            with pytest.raises(OutcomeUnknown):
+                await fleet.nodes["n1"].node.orders.run(fleet.order_of(key))
+        assert len(fleet.ran_orders()) <= 1
+
+    run_virtually(run())
+
+
+def test_many_claims_go_in_one_write():
+    async def run():
+        async with virtual_fleet(nodes=1, settings={"admission_limit": 4000}) as fleet:
+            node = fleet.nodes["n0"].node
+            before = fleet.shared.counts["writes"]
+            keys = [fleet.new_key() for _ in range(1_500)]
+            asks = [node.orders.run(fleet.order_of(key, deadline_ms=20_000.0)) for key in keys]
+            await asyncio.gather(*asks)
+            written = node.metrics.counts["once.written"]
+            writes = fleet.shared.counts["writes"] - before
+        assert len(fleet.ran_orders()) == 1_500
+        assert written >= 1_500
+        assert writes < 1_500 / 5
+
+    run_virtually(run())
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -1,5 +1,6 @@
 """One call to one backend server, with everything that it teaches."""
 
+from ..backends import ShardCall
 from ..exceptions import (
     BackendCut,
     BackendDied,
@@ -15,13 +16,32 @@
 PENALTY_MS = 1_000.0
 
 
-async def finish_call(tier, service, server, call, shard, fingerprint):
+async def next_server(tier, service, servers, tried, request_class):
+    """Return a server to ask, or ``None`` when none may be asked.
+
+    Where all that may be asked are busy, this waits until one has room.
+
+    :param servers: the replicas of the shard.
+    :param tried: ids of servers not to ask again.
+    """
+    while True:
+        configuration = tier.configuration()
+        server = tier.replicas.choose(configuration, service, servers, tried)
+        if server is not None:
+            return server
+        busy = tier.replicas.open_to_work(configuration, servers, tried)
+        if not busy:
+            return None
+        await tier.shares.room(busy, request_class)
+
+
+async def finish_call(tier, service, server, call, shard, fingerprint, as_canary=False):
     """Send ``call`` to ``server`` and note what comes of it.
 
     :param tier: the parts of the node, :class:`~auburnhollow.scatter.coordinator.Tier`.
     :param shard: name of the shard, for the blame when the server dies.
+    :param as_canary: whether the request is a suspect that runs on this server alone.
     :raises BackendError: as :meth:`~auburnhollow.backends.BackendClient.call` does.
-    :raises Quarantined: when the server died under the request and was not the first.
     """
     started_ms = tier.clock.now_ms()
     tier.shares.enter(server)
@@ -32,7 +52,7 @@
         tier.ejection.failed(server.id)
         tier.metrics.incr("backends.died")
         tier.events.record("server-died", server=server.id, request_id=call.request_id)
-        tier.quarantine.died(server.id, shard, fingerprint)
+        tier.quarantine.died(server.id, shard, fingerprint, as_canary)
         raise
     except BackendError as error:
         _learn_from_error(tier, service, server, error)
@@ -46,7 +66,8 @@
     tier.leaving.seen(server.id, answer.incarnation)
     load = getattr(answer, "load", None)
     tier.replicas.observe(server, latency_ms, load, answer.incarnation)
-    tier.policy(service).observe(latency_ms)
+    if isinstance(call, ShardCall):
+        tier.policy(service).observe(latency_ms)
     return answer
 
 
