Refuse requests that crash backend servers

Cause: a query goes to every shard, so a crashing one kills a replica of each, and every retry another.

Weighed: refuse at two deaths at once. Tried, and a rack that died under one lone query refused that innocent query for 120 s: from one node, 6 deaths look the same either way. Taken: blame shared among the requests that ran on the dead server, and survivors lift the refusal, since what kills every server has none; a second loss in the same shard convicts all the same.

Before: callers that repeat for 60 s lose every replica. After, over 7 virtual nodes and 3 seeds: at most one server a shard at 2, 4 and 10 shards, at most 2 for a check; a rack lost under 60 queries refuses none of them.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/blame.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/blame.py
@@ -18,6 +18,7 @@
 QUARANTINE_MS = 120_000.0
 LONGEST_MS = 3_600_000.0
 PROBE_WAIT_MS = 5_000.0
+TOGETHER_MS = 1_000.0
 MOST_FINGERPRINTS = 10_000
 
 
@@ -39,49 +40,80 @@
 class Suspect:
     """What is known of one request that servers have died under."""
 
-    __slots__ = ("blame_by_server", "canary", "shards", "since_ms", "times", "until_ms")
+    __slots__ = ("canary", "deaths", "last_ms", "times", "until_ms")
 
-    def __init__(self, now_ms):
-        self.blame_by_server = {}
-        self.shards = set()
+    def __init__(self):
         self.canary = asyncio.Lock()
-        self.since_ms = now_ms
+        self.deaths = {}
+        self.last_ms = None
         self.times = 0
         self.until_ms = None
 
     @property
-    def blame(self):
-        """The sum over all servers that died."""
-        return sum(self.blame_by_server.values())
+    def shards(self):
+        """Names of the shards that lost a server."""
+        return {death.shard for death in self.deaths.values()}
+
+    def add(self, death, now_ms):
+        """Count a death; of two under the same server the heavier counts."""
+        known = self.deaths.get(death.server)
+        if known is None or known.blame < death.blame:
+            self.deaths[death.server] = death
+        self.last_ms = now_ms
+
+    def blame(self, shard=None):
+        """Return the sum over all servers that died, or over those of one shard."""
+        total = 0.0
+        for death in self.deaths.values():
+            if shard is None or death.shard == shard:
+                total += death.blame
+        return total
 
 
 class Quarantine:
     """Refuses requests that crash backend servers.
 
-    A server that dies under ``k`` different requests lays ``1/k`` of the blame on each, so that a
-    dying rack quarantines nobody, while a request that dies alone does so quickly. At a blame of
-    ``LIMIT`` a request is refused for ``QUARANTINE_MS``, doubling with each further time. Below
-    that it is a suspect: it runs on one server at a time until a shard that lost a server has
-    answered. After a quarantine one node alone, the first in rank for the request, lets it run
-    again, as a suspect.
+    A server that dies under ``k`` different requests lays ``1/k`` of the blame on each. A request
+    with a blame of ``LIMIT`` is refused for ``QUARANTINE_MS``, doubling with each further time,
+    unless another server answered it within ``TOGETHER_MS``: what kills every server that runs it
+    has no survivors, a dying rack leaves some. Below that it is a suspect and runs on one server
+    at a time until a shard that lost a server has answered. A second loss in the same shard
+    convicts it, survivors or not. After a quarantine one node alone, the first in rank for the
+    request, lets it run again, as a suspect.
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param events: :class:`~auburnhollow.events.Recorder`.
     :param random: a :class:`random.Random`.
-    :param tell: function called with each :class:`Death` seen here, for the peers.
     :param may_probe: function of a fingerprint: whether this node lets it run again.
-    """
 
-    __slots__ = ("_clock", "_events", "_may_probe", "_random", "_running", "_suspects", "_tell")
+    ``tell`` and ``tell_survived`` are called with each :class:`Death` seen here and each
+    fingerprint that a quarantine was lifted from, for the peers.
+    """
 
-    def __init__(self, clock, events, random, tell=None, may_probe=None):
-        self._may_probe = may_probe or (lambda fingerprint: True)
+    __slots__ = (
+        "_answered_ms",
+        "_casualties",
+        "_clock",
+        "_events",
+        "_may_probe",
+        "_random",
+        "_running",
+        "_suspects",
+        "tell",
+        "tell_survived",
+    )
+
+    def __init__(self, clock, events, random, may_probe=None):
         self._clock = clock
         self._events = events
         self._random = random
-        self._tell = tell
+        self._may_probe = may_probe or (lambda fingerprint: True)
         self._suspects = {}
         self._running = {}
+        self._answered_ms = {}
+        self._casualties = {}
+        self.tell = None
+        self.tell_survived = None
 
     @property
     def refused(self):
@@ -93,8 +125,11 @@
                 found[fingerprint] = round(suspect.until_ms - now_ms)
         return found
 
-    def check(self, fingerprint):
-        """Raise :class:`Quarantined` if the request is refused now."""
+    def check(self, fingerprint, ran=Ran.NO):
+        """Raise :class:`Quarantined` if the request is refused now.
+
+        :param ran: what is true of the request by now.
+        """
         suspect = self._suspects.get(fingerprint)
         if suspect is None or suspect.until_ms is None:
             return
@@ -102,16 +137,18 @@
         if remaining_ms <= 0 and not self._may_probe(fingerprint):
             remaining_ms = PROBE_WAIT_MS
         if remaining_ms > 0:
-            raise self._refusal(suspect, remaining_ms, Ran.NO)
+            raise Quarantined(
+                f"{len(suspect.deaths)} backend servers died under requests like this one",
+                ran=ran,
+                retry_after_ms=spread_ms(self._random, remaining_ms),
+            )
 
     def is_suspect(self, fingerprint):
         """Return whether the request must run on one server at a time."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return False
-        if suspect.until_ms is not None:
-            return True
-        if self._clock.now_ms() - suspect.since_ms > SUSPECT_MS:
+        if suspect.until_ms is None and self._clock.now_ms() - suspect.last_ms > SUSPECT_MS:
             del self._suspects[fingerprint]
             return False
         return True
@@ -121,13 +158,15 @@
         """Let one call of a suspect run at a time.
 
         The block gets whether the request is still a suspect when its turn comes.
+
+        :raises Quarantined: when it is refused by then.
         """
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             yield False
             return
         async with suspect.canary:
-            self.check(fingerprint)
+            self.check(fingerprint, Ran.UNKNOWN)
             yield self.is_suspect(fingerprint)
 
     def started(self, server, fingerprint):
@@ -146,71 +185,121 @@
         if not running:
             del self._running[server]
 
-    def died(self, server, shard, fingerprint):
-        """Take the death of a server under the request.
+    def died(self, server, shard, fingerprint, as_canary=False):
+        """Take the death of a server under the request, seen here.
 
-        :raises Quarantined: when that was one too many.
+        :param as_canary: whether the request ran as a suspect; then the loss is its own.
         """
-        running = set(self._running.get(server, ()))
-        running.add(fingerprint)
-        death = Death(fingerprint=fingerprint, server=server, shard=shard, blame=1.0 / len(running))
+        together = self._died_together(server, fingerprint)
+        blame = 1.0 if as_canary else 1.0 / len(together)
+        death = Death(fingerprint=fingerprint, server=server, shard=shard, blame=blame)
         self.take(death)
-        if self._tell is not None:
-            self._tell(death)
-        suspect = self._suspects[fingerprint]
-        if suspect.until_ms is not None:
-            remaining_ms = max(0.0, suspect.until_ms - self._clock.now_ms())
-            raise self._refusal(suspect, remaining_ms, Ran.UNKNOWN)
+        if self.tell is not None:
+            self.tell(death)
 
     def take(self, death):
         """Take a :class:`Death` seen here or by a peer."""
         suspect = self._suspects.get(death.fingerprint)
         if suspect is None or not self.is_suspect(death.fingerprint):
-            self._make_room()
-            suspect = Suspect(self._clock.now_ms())
+            _make_room(self._suspects)
+            suspect = Suspect()
             self._suspects[death.fingerprint] = suspect
-        suspect.shards.add(death.shard)
-        known = suspect.blame_by_server.get(death.server, 0.0)
-        suspect.blame_by_server[death.server] = max(known, death.blame)
-        if suspect.blame < LIMIT:
-            return
         now_ms = self._clock.now_ms()
+        suspect.add(death, now_ms)
         if suspect.until_ms is not None and now_ms < suspect.until_ms:
             return
+        if self._is_convicted(death.fingerprint, suspect, death.shard):
+            self._refuse(death.fingerprint, suspect)
+
+    def answered(self, fingerprint, shard):
+        """Note that a server has answered the request."""
+        now_ms = self._clock.now_ms()
+        self._answered_ms.pop(fingerprint, None)
+        _make_room(self._answered_ms)
+        self._answered_ms[fingerprint] = now_ms
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return
+        is_refused = suspect.until_ms is not None and now_ms < suspect.until_ms
+        if is_refused:
+            self._survived(fingerprint, suspect)
+            return
+        if shard in suspect.shards:
+            del self._suspects[fingerprint]
+            self._events.record("suspect-cleared", fingerprint=fingerprint)
+
+    def hear_survived(self, fingerprint):
+        """Note that a peer lifted the quarantine of the request."""
+        self._answered_ms[fingerprint] = self._clock.now_ms()
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.until_ms is not None:
+            self._lift(fingerprint, suspect)
+
+    def _survived(self, fingerprint, suspect):
+        """Lift a quarantine that the deaths of the last moments have brought."""
+        if self._clock.now_ms() - suspect.last_ms > TOGETHER_MS:
+            return
+        if any(suspect.blame(shard) >= LIMIT for shard in suspect.shards):
+            return
+        self._lift(fingerprint, suspect)
+        if self.tell_survived is not None:
+            self.tell_survived(fingerprint)
+
+    def _lift(self, fingerprint, suspect):
+        suspect.until_ms = None
+        suspect.times = max(0, suspect.times - 1)
+        log.info("quarantine: request %s has survivors, and is a suspect only", fingerprint)
+        self._events.record("quarantine-lifted", fingerprint=fingerprint)
+
+    def _is_convicted(self, fingerprint, suspect, shard):
+        if suspect.blame(shard) >= LIMIT:
+            return True
+        if suspect.blame() < LIMIT:
+            return False
+        answered_ms = self._answered_ms.get(fingerprint)
+        return answered_ms is None or self._clock.now_ms() - answered_ms > TOGETHER_MS
+
+    def _refuse(self, fingerprint, suspect):
         suspect.times += 1
         duration_ms = min(LONGEST_MS, QUARANTINE_MS * 2 ** (suspect.times - 1))
-        suspect.until_ms = now_ms + duration_ms
+        suspect.until_ms = self._clock.now_ms() + duration_ms
         log.error(
             "quarantine: request %s killed %d servers, refused for %d ms",
-            death.fingerprint,
-            len(suspect.blame_by_server),
+            fingerprint,
+            len(suspect.deaths),
             duration_ms,
         )
         self._events.record(
             "quarantined",
-            fingerprint=death.fingerprint,
-            servers=sorted(suspect.blame_by_server),
+            fingerprint=fingerprint,
+            servers=sorted(suspect.deaths),
             duration_ms=duration_ms,
         )
 
-    def answered(self, fingerprint, shard):
-        """Clear a suspect when a shard that lost a server has answered."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or shard not in suspect.shards:
-            return
-        if suspect.until_ms is not None and self._clock.now_ms() < suspect.until_ms:
-            return
-        del self._suspects[fingerprint]
-        self._events.record("suspect-cleared", fingerprint=fingerprint)
-
-    def _refusal(self, suspect, remaining_ms, ran):
-        count = len(suspect.blame_by_server)
-        return Quarantined(
-            f"{count} backend servers died under requests like this one",
-            ran=ran,
-            retry_after_ms=spread_ms(self._random, remaining_ms),
-        )
+    def _died_together(self, server, fingerprint):
+        """Return all requests that ran on the server when it died.
 
-    def _make_room(self):
-        while len(self._suspects) >= MOST_FINGERPRINTS:
-            del self._suspects[next(iter(self._suspects))]
+        Their connections end one after another; what the first of them saw goes for all.
+        """
+        now_ms = self._clock.now_ms()
+        since_ms, together = self._casualties.get(server, (None, None))
+        if since_ms is None or now_ms - since_ms > TOGETHER_MS:
+            self._casualties = _fresh(self._casualties, now_ms)
+            together = set()
+            self._casualties[server] = (now_ms, together)
+        together |= set(self._running.get(server, ()))
+        together.add(fingerprint)
+        return together
+
+
+def _fresh(casualties, now_ms):
+    fresh = {}
+    for server, (since_ms, together) in casualties.items():
+        if now_ms - since_ms <= TOGETHER_MS:
+            fresh[server] = (since_ms, together)
+    return fresh
+
+
+def _make_room(entries):
+    while len(entries) >= MOST_FINGERPRINTS:
+        del entries[next(iter(entries))]
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_quarantine.py
@@ -0,0 +1,195 @@
+"""Requests that crash backend servers."""
+
+import asyncio
+import random
+
+import pytest
+
+from auburnhollow.clock import ManualClock
+from auburnhollow.events import Recorder
+from auburnhollow.exceptions import Quarantined, QueryError, Ran
+from auburnhollow.quarantine import Quarantine, fingerprint_of
+from auburnhollow.quarantine.blame import QUARANTINE_MS, TOGETHER_MS
+from auburnhollow_standins.virtual import run_virtually
+from auburnhollow_standins.virtual_fleet import document_of, search_of, virtual_fleet
+
+CRASH = {"text": "crash"}
+
+
+def new_quarantine(may_probe=None):
+    clock = ManualClock()
+    return clock, Quarantine(clock, Recorder("t", clock), random.Random(1), may_probe=may_probe)
+
+
+def die(quarantine, server, *fingerprints):
+    """Let a server die under several requests; return those that are refused now."""
+    for fingerprint in fingerprints:
+        quarantine.started(server, fingerprint)
+    for fingerprint in fingerprints:
+        quarantine.died(server, f"shard of {server}", fingerprint)
+        quarantine.ended(server, fingerprint)
+    return set(quarantine.refused)
+
+
+def test_a_request_that_servers_die_under_alone_is_refused_after_two():
+    _, quarantine = new_quarantine()
+    assert die(quarantine, "a", "bad") == set()
+    assert die(quarantine, "b", "bad") == {"bad"}
+    with pytest.raises(Quarantined) as caught:
+        quarantine.check("bad")
+    assert caught.value.ran is Ran.NO
+    assert caught.value.retry_after_ms >= QUARANTINE_MS
+
+
+def test_a_dying_rack_quarantines_nobody():
+    _, quarantine = new_quarantine()
+    requests = [f"r{number}" for number in range(6)]
+    for server in "abcdefgh":
+        assert die(quarantine, server, *requests) == set()
+
+
+def test_the_crasher_among_others_is_found_and_they_are_not_blamed():
+    clock, quarantine = new_quarantine()
+    seeded = random.Random(3)
+    refused = set()
+    for number in range(20):
+        others = {f"other{seeded.randrange(200)}" for _ in range(3)}
+        refused |= die(quarantine, f"server{number}", "bad", *others)
+        clock.advance(TOGETHER_MS * 2)
+    assert refused == {"bad"}
+
+
+def test_after_the_quarantine_one_node_alone_lets_it_run_again():
+    for may_probe in (True, False):
+        clock, quarantine = new_quarantine(lambda _fingerprint, may=may_probe: may)
+        die(quarantine, "a", "bad")
+        die(quarantine, "b", "bad")
+        clock.advance(QUARANTINE_MS + 1)
+        if not may_probe:
+            with pytest.raises(Quarantined):
+                quarantine.check("bad")
+            continue
+        quarantine.check("bad")
+        assert quarantine.is_suspect("bad")
+        quarantine.answered("bad", "shard of a")
+        assert not quarantine.is_suspect("bad")
+
+
+def test_survivors_make_a_suspect_of_what_looked_guilty():
+    _, quarantine = new_quarantine()
+    assert die(quarantine, "a", "good") == set()
+    assert die(quarantine, "b", "good") == {"good"}
+    quarantine.answered("good", "another shard")
+    quarantine.check("good")
+    assert quarantine.is_suspect("good")
+
+
+def test_a_second_loss_in_one_shard_convicts_in_spite_of_survivors():
+    _, quarantine = new_quarantine()
+    for server in ("a", "b"):
+        quarantine.answered("bad", "another shard")
+        quarantine.started(server, "bad")
+        quarantine.died(server, "the shard", "bad")
+    assert set(quarantine.refused) == {"bad"}
+
+
+def test_each_further_quarantine_is_longer():
+    clock, quarantine = new_quarantine()
+    die(quarantine, "a", "bad")
+    die(quarantine, "b", "bad")
+    clock.advance(QUARANTINE_MS + 1)
+    assert die(quarantine, "a", "bad") == {"bad"}
+    clock.advance(QUARANTINE_MS + 1)
+    with pytest.raises(Quarantined):
+        quarantine.check("bad")
+
+
+def test_the_fingerprint_does_not_depend_on_the_order_of_keys():
+    assert fingerprint_of("s", {"a": 1, "b": 2}) == fingerprint_of("s", {"b": 2, "a": 1})
+    assert fingerprint_of("s", {"a": 1}) != fingerprint_of("t", {"a": 1})
+
+
+async def crash_for_a_minute(fleet, shards):
+    """Let callers repeat a crashing request on every node for 60 s; return servers lost."""
+    for server in fleet.servers.values():
+        server.crash_mark = "crash"
+    # Callers come a moment after their own retry interval, to any node.
+    end_ms = fleet.clock.now_ms() + 60_000
+    refusals = 0
+    while fleet.clock.now_ms() < end_ms:
+        node = fleet.random.choice(list(fleet.nodes.values())).node
+        try:
+            await node.coordinator.search(search_of(query=CRASH))
+        except QueryError as error:
+            refusals += isinstance(error, Quarantined)
+        await fleet.clock.sleep(200)
+    return sum(server.is_dead for server in fleet.servers.values()), refusals
+
+
+@pytest.mark.parametrize("shards", [2, 4, 10])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_crashing_request_costs_the_fleet_one_server_a_shard_at_most(shards, seed):
+    async def run():
+        async with virtual_fleet(document_of(shards=shards), nodes=7, seed=seed) as fleet:
+            await fleet.clock.sleep(2_000)
+            lost, refusals = await crash_for_a_minute(fleet, shards)
+            assert lost <= shards
+            assert refusals > 200
+            for server in fleet.servers.values():
+                server.crash_mark = None
+            answer = await fleet.nodes["n0"].node.coordinator.search(search_of())
+            assert answer.coverage.is_complete
+
+    run_virtually(run())
+
+
+def test_a_crashing_check_costs_two_servers_at_most():
+    async def run():
+        async with virtual_fleet(document_of(shards=1, replicas=10), nodes=7) as fleet:
+            await fleet.clock.sleep(2_000)
+            lost, _ = await crash_for_a_minute(fleet, 1)
+            assert lost <= 2
+
+    run_virtually(run())
+
+
+def test_a_request_that_one_shard_alone_dies_of_is_found_too():
+    async def run():
+        async with virtual_fleet(document_of(shards=4, replicas=6), nodes=7) as fleet:
+            await fleet.clock.sleep(2_000)
+            for name, server in fleet.servers.items():
+                server.crash_mark = "crash" if name.startswith("s2-") else None
+            for _ in range(100):
+                node = fleet.random.choice(list(fleet.nodes.values())).node
+                try:
+                    await node.coordinator.search(search_of(query=CRASH))
+                except QueryError:
+                    pass
+                await fleet.clock.sleep(200)
+            assert sum(server.is_dead for server in fleet.servers.values()) <= 2
+
+    run_virtually(run())
+
+
+def test_a_rack_that_dies_under_load_refuses_no_innocent_request():
+    async def run():
+        async with virtual_fleet(document_of(shards=6), nodes=3) as fleet:
+            await fleet.clock.sleep(2_000)
+            for server in fleet.servers.values():
+                server.latency_ms = 40.0
+            asks = []
+            for number in range(30):
+                node = fleet.nodes[f"n{number % 3}"].node
+                search = search_of(query={"text": f"query {number}"})
+                asks.append(asyncio.create_task(node.coordinator.search(search)))
+            await fleet.clock.sleep(10)
+            for server in list(fleet.servers.values())[::3]:
+                server.always = "die"
+            for number in range(30, 60):
+                node = fleet.nodes[f"n{number % 3}"].node
+                search = search_of(query={"text": f"query {number}"})
+                asks.append(asyncio.create_task(node.coordinator.search(search)))
+            answers = await asyncio.gather(*asks)
+            assert all(answer.coverage.is_complete for answer in answers)
+
+    run_virtually(run())
