Wire the slices into the node, with fakes in virtual time

Cause: the slices need one place that knows them all, and their failures need a fleet that a test can drive without waiting.

Taken: the node is built from interfaces (store, instance list, backend client, peers), so a test runs whole nodes over fakes on an event loop whose clock jumps to the next timer. Verdicts do not depend on the machine's speed.

--- a/packages/auburnhollow-node/src/auburnhollow_node/front/bodies.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/front/bodies.py
@@ -7,7 +7,8 @@
 from auburnhollow.documents import check_schema
 from auburnhollow.exceptions import BadRequest, Finding, QueryError, Ran
 from auburnhollow.identifiers import new_id
-from auburnhollow.limits.classes import CLASSES, INTERACTIVE
+from auburnhollow.limits.classes import CLASSES, INTERACTIVE, URGENT
+from auburnhollow.once import Order
 from auburnhollow.scatter import Search
 
 MOST_ROWS = 1_000
@@ -54,6 +55,8 @@
     "properties": {
         "service": _TEXT,
         "order": {"type": "object"},
+        "selector": _SELECTOR,
+        "earlier": {"enum": ["none", "not-run", "unknown"]},
         "class": {"enum": list(CLASSES)},
         "deadline_ms": _DEADLINE,
         "request_id": _TEXT,
@@ -131,3 +134,17 @@
         limit_ms=limit_ms,
         at_least=body.get("at_least", 0),
     )
+
+
+def read_order(body, key, caller, policy):
+    """Return the :class:`Order` that a checked body asks for."""
+    return Order(
+        caller=caller,
+        key=key,
+        service=body["service"],
+        selector=body.get("selector", {}),
+        order=body["order"],
+        request_class=body.get("class", URGENT),
+        deadline_ms=body.get("deadline_ms", policy.deadline_ms),
+        earlier=body.get("earlier", "unknown"),
+    )
--- a/packages/auburnhollow-node/src/auburnhollow_node/front/callers.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/front/callers.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from auburnhollow.configuration.schema import CHECK, SEARCH
+from auburnhollow.configuration.schema import CHECK, ORDER, SEARCH
 from auburnhollow.exceptions import NotReady, QueryError
 from auburnhollow.metrics import timed
 from auburnhollow.routing.plan import find_by_labels, find_service
@@ -85,6 +85,42 @@
     response.data = orjson.dumps(body)
 
 
+class Orders:
+    """Runs orders.
+
+    :param node: :class:`~auburnhollow_node.node.Node`.
+    """
+
+    __slots__ = ("_node",)
+
+    def __init__(self, node):
+        self._node = node
+
+    async def on_post(self, request, response):
+        """Run one order, at most once under its key."""
+        node = self._node
+        settings = node.settings
+        with timed(node.metrics, node.clock, "front.order_ms"):
+            body = await bodies.read_body(request, settings.max_body_bytes, settings.body_ms)
+            request.context.request_id = body.get("request_id")
+            bodies.check_body(bodies.ORDER, body)
+            service = find_service(node.tier.configuration(), body["service"], ORDER)
+            key = request.get_header("Idempotency-Key")
+            order = bodies.read_order(body, key, caller_of(request), service.policy)
+            result = await self._run(order)
+        response.content_type = JSON
+        response.data = orjson.dumps({"request_id": body.get("request_id"), **result.to_map()})
+
+    async def _run(self, order):
+        try:
+            return await self._node.orders.run(order)
+        except QueryError as error:
+            self._node.events.record(
+                "order-refused", key=order.key, code=error.code, ran=error.ran.value
+            )
+            raise
+
+
 class Ready:
     """Tells the balancer whether to send requests here."""
 
@@ -131,6 +167,7 @@
     """Add the callers' routes to ``app``."""
     app.add_route("/v1/search", Reading(node, SEARCH))
     app.add_route("/v1/check", Reading(node, CHECK))
+    app.add_route("/v1/orders", Orders(node))
     app.add_route("/readyz", Ready(node))
     app.add_route("/healthz", Alive())
     app.add_middleware(ClosesConnections(node))
--- a/packages/auburnhollow-node/src/auburnhollow_node/front/operators.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/front/operators.py
@@ -1,5 +1,21 @@
 """What operators reach, through the ``auburnhollow`` command."""
 
+from auburnhollow.configuration.schema import KINDS, SEARCH
+
+from .. import status
+from . import bodies
+
+ROUTE = {
+    "type": "object",
+    "additionalProperties": False,
+    "anyOf": [{"required": ["service"]}, {"required": ["selector"]}],
+    "properties": {
+        "kind": {"enum": KINDS},
+        "service": {"type": "string"},
+        "selector": {"type": "object"},
+    },
+}
+
 
 class Events:
     """Gives the events of this process."""
@@ -17,7 +33,7 @@
 
 
 class Status:
-    """Gives the state of this node as it sees itself and the fleet."""
+    """Gives the state of this node and of the fleet as it sees it."""
 
     __slots__ = ("_node",)
 
@@ -39,7 +55,12 @@
 
     async def on_post(self, request, response):
         """Answer with the shards and replicas, each with its cost or why it is passed over."""
-        response.media = self._node.explain(await request.get_media())
+        settings = self._node.settings
+        body = await bodies.read_body(request, settings.max_body_bytes, settings.body_ms)
+        bodies.check_body(ROUTE, body)
+        response.media = status.explain_route(
+            self._node, body.get("kind", SEARCH), body.get("service"), body.get("selector", {})
+        )
 
 
 def add_routes(app, node):
--- a/packages/auburnhollow-node/src/auburnhollow_node/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/main.py
@@ -4,12 +4,14 @@
 import logging
 import signal
 import sys
+from contextlib import asynccontextmanager
 
 import aiohttp
 import fire
 
 from auburnhollow.backends import HttpBackendClient
 from auburnhollow.exceptions import SettingsError
+from auburnhollow.peers import PeerLink
 from auburnhollow.platform import HttpStore, InstanceList
 
 from .front import build_app
@@ -36,20 +38,64 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    async with open_node(settings) as node:
+        server = FrontServer(build_app(node), settings.host, settings.port, settings.shutdown_ms)
+        await node.peer_server.start(settings.host, settings.peer_port)
+        await node.start()
+        serving = asyncio.create_task(server.serve())
+        await asyncio.wait(
+            {serving, asyncio.create_task(stop.wait())}, return_when=asyncio.FIRST_COMPLETED
+        )
+        await shut_down(node, server, serving, kill)
+
+
+async def shut_down(node, server, serving, kill):
+    """Stop without cutting a request; ``kill`` ends it early.
+
+    The balancer learns first, and goes on sending for a while, which is still served; then
+    requests in progress end, then orders' outcomes are kept, then the peers learn.
+    """
+    log.info("node: stops, and lingers for %d ms", node.settings.linger_ms)
+    node.is_stopping = True
+    node.events.record("stopping")
+    node.membership.announce(ready=False)
+    await _wait_or_kill(kill, asyncio.sleep(node.settings.linger_ms / 1000))
+    server.should_exit = True
+    if kill.is_set():
+        server.force_exit = True
+    await _wait_or_kill(kill, asyncio.shield(serving))
+    await _wait_or_kill(kill, node.drain())
+    await node.stop()
+    await node.peer_server.close()
+    log.info("node: stopped")
+
+
+async def _wait_or_kill(kill, awaitable):
+    task = asyncio.ensure_future(awaitable)
+    killed = asyncio.create_task(kill.wait())
+    await asyncio.wait({task, killed}, return_when=asyncio.FIRST_COMPLETED)
+    for each in (task, killed):
+        each.cancel()
+    await asyncio.gather(task, killed, return_exceptions=True)
+
+
+@asynccontextmanager
+async def open_node(settings):
+    """Open a :class:`Node` with its connections for the length of the block."""
+    backends = HttpBackendClient(settings.data_centre)
     async with aiohttp.ClientSession() as session:
         node = Node(
             settings,
             HttpStore(session, settings.store),
             InstanceList(session, settings.instances),
-            HttpBackendClient(settings.data_centre),
+            backends,
+            PeerLink,
         )
-        server = FrontServer(build_app(node), settings.host, settings.port, settings.shutdown_ms)
-        running = asyncio.create_task(node.run())
-        serving = asyncio.create_task(server.serve())
-        await stop.wait()
-        server.should_exit = True
-        await serving
-        running.cancel()
+        try:
+            yield node
+        finally:
+            await node.peers.close()
+            await backends.close()
 
 
 def start(settings):
--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -1,23 +1,40 @@
 """One node: its parts and how they are wired."""
 
+import asyncio
 import logging
 import random
 
 from auburnhollow.clock import Clock
 from auburnhollow.configuration import Keeper
+from auburnhollow.configuration.messages import FetchConfiguration
+from auburnhollow.configuration.spread import ConfigurationSpread
 from auburnhollow.drain import Leaving
+from auburnhollow.drain.spread import LeavingSpread
 from auburnhollow.events import Recorder
+from auburnhollow.exceptions import PeerError, StoreError
+from auburnhollow.gossip import Push, Spreader, SyncAsk, Table
+from auburnhollow.gossip.messages import Fetch
+from auburnhollow.hashing import first_ranked
 from auburnhollow.limits import Gate, Shares
+from auburnhollow.membership import ALIVE, Member, Membership
+from auburnhollow.membership.messages import Ping, PingRequest
 from auburnhollow.metrics import Metrics
+from auburnhollow.once import AttemptAsk, ClaimAsk, Ledger, Orders, SettleAsk
+from auburnhollow.peers import PeerServer
 from auburnhollow.quarantine import Quarantine
+from auburnhollow.quarantine.spread import DeathSpread
 from auburnhollow.routing import Ejection, ReplicaChoice
 from auburnhollow.scatter import Coordinator
 from auburnhollow.scatter.coordinator import Tier
 from auburnhollow.snapshots import Snapshots
 
+from . import status
+
 log = logging.getLogger("node")
 
-READ_EVERY_MS = 500.0
+URGENT_KINDS = ("configuration", "server", "death", "survived")
+JOIN_EVERY_MS = 500.0
+LEAVE_PAUSE_MS = 300.0
 
 
 class Node:
@@ -27,69 +44,225 @@
     :param store: :class:`~auburnhollow.platform.Store`.
     :param instances: :class:`~auburnhollow.platform.InstanceList`.
     :param backends: :class:`~auburnhollow.backends.BackendClient`.
+    :param make_peers: function of the metrics that returns :class:`~auburnhollow.peers.Peers`.
+
+    >>> async with node.running():
+    ...     await node.coordinator.search(search)
     """
 
     __slots__ = (
+        "_tasks",
         "clock",
+        "configurations",
         "coordinator",
         "events",
+        "instances",
         "is_stopping",
         "keeper",
+        "ledger",
+        "membership",
         "metrics",
+        "orders",
+        "peer_server",
+        "peers",
+        "servers",
         "settings",
+        "spreader",
+        "started_ms",
         "store",
+        "table",
         "tier",
     )
 
-    def __init__(self, settings, store, instances, backends, clock=None):
+    def __init__(self, settings, store, instances, backends, make_peers, clock=None):
         self.settings = settings
         self.store = store
+        self.instances = instances
         self.clock = clock or Clock()
         self.is_stopping = False
+        self.started_ms = self.clock.wall_ms()
         self.metrics = Metrics(settings.statsd)
         self.events = Recorder(settings.id, self.clock)
         self.keeper = Keeper(self.events)
-        self.tier = self._tier(backends)
-        self.coordinator = Coordinator(self.tier)
+        self.peers = make_peers(self.metrics)
+        self.peer_server = PeerServer(self.metrics)
+        seeded = random.Random(settings.seed)
+        self._wire_fleet(seeded)
+        self._wire_tier(backends, seeded)
+        self._wire_spreads(seeded)
+        self._wire_messages()
+        self._tasks = []
 
     @property
     def is_ready(self):
         """Whether the balancer should send requests here."""
         return not self.is_stopping and self.keeper.configuration is not None
 
-    def members(self):
-        """Return the ids of all live nodes."""
-        return (self.settings.id,)
-
     def status(self):
-        """Return the state of this node, for people."""
-        return {"id": self.settings.id, "revision": self.keeper.number}
+        """Return the state of this node and of the fleet as it sees it, for people."""
+        return status.status_of(self)
+
+    async def start(self):
+        """Join the fleet, get a configuration, and keep both up to date."""
+        self.membership.join(self.spreader)
+        self._start_task(self.spreader.run())
+        self._start_task(self._join())
+        self._start_task(self.membership.run())
+        await self.configurations.start()
+        self._start_task(self.configurations.run())
+        self._start_task(self.servers.run())
+        self.events.record("started", revision=self.keeper.number)
+
+    async def drain(self):
+        """Finish orders in progress, keep their outcomes, and tell the peers of the end."""
+        await self.orders.flush()
+        self.membership.leave()
+        await self.clock.sleep(LEAVE_PAUSE_MS)
+        self.events.record("left")
 
-    async def run(self):
-        """Keep the configuration up to date until cancelled."""
+    async def stop(self):
+        """End all tasks."""
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _start_task(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        task.add_done_callback(self._task_ended)
+        self._tasks.append(task)
+
+    def _task_ended(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            log.error("node: a task ended with an error", exc_info=task.exception())
+            self.events.record("task-failed", error=repr(task.exception()))
+
+    async def _join(self):
+        """Meet the nodes of the instance list, then go on until there is a configuration."""
         while True:
+            await self._contact_listed()
+            if self.keeper.configuration is not None:
+                return
+            await self.configurations.ask_peers()
             await self.keeper.read_store(self.store)
-            await self.clock.sleep(READ_EVERY_MS)
+            await self.clock.sleep(JOIN_EVERY_MS)
+
+    async def _contact_listed(self):
+        try:
+            entries = await self.instances.read()
+        except StoreError as error:
+            log.warning("node: the instance list can't be read: %s", error)
+            return
+        for entry in entries:
+            if entry.role != "node" or entry.id == self.settings.id:
+                continue
+            try:
+                await self.membership.contact(entry.address)
+            except PeerError as error:
+                log.info("node: %s does not answer: %s", entry.id, error)
+                continue
+            if len(self.membership.present()) > 1:
+                return
+
+    def _wire_fleet(self, seeded):
+        settings = self.settings
+        me = Member(
+            id=settings.id,
+            address=f"{settings.host}:{settings.peer_port}",
+            data_centre=settings.data_centre,
+            state=ALIVE,
+            incarnation=self.started_ms,
+            revision=0,
+            ready=True,
+        )
+        self.table = Table(self.clock)
+        self.membership = Membership(
+            me, self.table, self.peers, self.clock, seeded, self.events, self.metrics
+        )
+        self.spreader = Spreader(
+            self.table,
+            self.peers,
+            me.address,
+            self.membership.targets,
+            seeded,
+            self.clock,
+            self.metrics,
+            urgent=URGENT_KINDS,
+        )
 
-    def _tier(self, backends):
-        seeded = random.Random(self.settings.seed)
-        shares = Shares(self.settings.id, self.members)
+    def _wire_tier(self, backends, seeded):
+        settings = self.settings
+        shares = Shares(settings.id, self.membership.present)
         ejection = Ejection(self.clock, self.events)
         leaving = Leaving(self.events)
-        return Tier(
+        self.tier = Tier(
             backends=backends,
             clock=self.clock,
             ejection=ejection,
             events=self.events,
-            gate=Gate(self.clock, self.events, seeded, self.settings.admission_limit),
+            gate=Gate(self.clock, self.events, seeded, settings.admission_limit),
             keeper=self.keeper,
             leaving=leaving,
             metrics=self.metrics,
-            quarantine=Quarantine(self.clock, self.events, seeded),
+            quarantine=Quarantine(self.clock, self.events, seeded, may_probe=self._ranks_first_for),
             random=seeded,
             replicas=ReplicaChoice(
-                self.settings.data_centre, self.clock, seeded, shares, ejection, leaving
+                settings.data_centre, self.clock, seeded, shares, ejection, leaving
             ),
             shares=shares,
             snapshots=Snapshots(self.clock),
         )
+        self.coordinator = Coordinator(self.tier)
+        self.ledger = Ledger(self.store, self.clock, self.metrics)
+        self.orders = Orders(
+            self.tier,
+            self.ledger,
+            self.peers,
+            self.membership,
+            self.started_ms,
+            settings.claim_window_ms,
+        )
+
+    def _wire_spreads(self, seeded):
+        self.configurations = ConfigurationSpread(
+            self.keeper,
+            self.store,
+            self.membership,
+            self.spreader,
+            self.table,
+            self.peers,
+            self.clock,
+            seeded,
+            self.settings.watchers,
+        )
+        self.servers = LeavingSpread(
+            self.tier.leaving,
+            self.instances,
+            lambda: self.configurations.is_watcher,
+            self.membership,
+            self.spreader,
+            self.table,
+            self.clock,
+        )
+        DeathSpread(self.tier.quarantine, self.spreader, self.table, self.clock)
+        self.keeper.on_change(self._forget_servers)
+
+    def _wire_messages(self):
+        on = self.peer_server.on
+        on(Ping, self.membership.on_ping)
+        on(PingRequest, self.membership.on_ping_request)
+        on(Push, self.spreader.on_push)
+        on(SyncAsk, self.spreader.on_sync_ask)
+        on(Fetch, self.spreader.on_fetch)
+        on(FetchConfiguration, self.configurations.on_fetch)
+        on(ClaimAsk, self.orders.on_claim)
+        on(SettleAsk, self.orders.on_settle)
+        on(AttemptAsk, self.orders.on_attempt)
+
+    def _ranks_first_for(self, fingerprint):
+        return first_ranked(fingerprint, self.membership.present()) == self.settings.id
+
+    def _forget_servers(self, _stored):
+        known = self.keeper.configuration.servers
+        self.tier.leaving.forget(known)
+        self.tier.replicas.forget(known)
--- a/packages/auburnhollow-node/src/auburnhollow_node/settings.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/settings.py
@@ -33,7 +33,6 @@
         "linger_ms": _DURATION,
         "shutdown_ms": _DURATION,
         "claim_window_ms": {"type": "number", "minimum": 10_000, "maximum": 86_400_000},
-        "claim_ranges": {"type": "integer", "minimum": 1, "maximum": 4096},
         "watchers": {"type": "integer", "minimum": 1, "maximum": 20},
         "seed": {"type": "integer"},
     },
@@ -49,7 +48,6 @@
     "linger_ms": 6_000.0,
     "shutdown_ms": 30_000.0,
     "claim_window_ms": 600_000.0,
-    "claim_ranges": 16,
     "watchers": 3,
     "seed": None,
 }
--- /dev/null
+++ b/packages/auburnhollow-node/src/auburnhollow_node/status.py
@@ -0,0 +1,107 @@
+"""What a node tells operators of itself and of the fleet."""
+
+from auburnhollow.labels import describe
+from auburnhollow.routing.plan import find_by_labels, find_service, plan_request
+
+
+def status_of(node):
+    """Return a JSON object with the state of a node and of the fleet as it sees it."""
+    tier = node.tier
+    stored = node.keeper.stored
+    return {
+        "id": node.settings.id,
+        "data_centre": node.settings.data_centre,
+        "started_ms": node.started_ms,
+        "ready": node.is_ready,
+        "stopping": node.is_stopping,
+        "revision": node.keeper.number,
+        "change_id": None if stored is None else stored.change_id,
+        "revision_from": node.keeper.source,
+        "watches_store": node.configurations.is_watcher,
+        "busy": tier.gate.busy,
+        "limit": tier.gate.limit,
+        "shed": tier.gate.shed,
+        "leaving": tier.leaving.servers,
+        "draining": sorted(node.keeper.configuration.draining) if stored else [],
+        "ejected": tier.ejection.ejected,
+        "quarantined": tier.quarantine.refused,
+        "members": _members(node),
+        "services": {name: _service(policy) for name, policy in tier.policies.items()},
+        "counts": node.metrics.counts,
+        "events": node.events.counts,
+    }
+
+
+def _members(node):
+    members = []
+    for name in sorted(node.membership.members):
+        member = node.membership.members[name]
+        members.append(
+            {
+                "id": member.id,
+                "address": member.address,
+                "data_centre": member.data_centre,
+                "state": member.state,
+                "revision": member.revision,
+                "ready": member.ready,
+            }
+        )
+    return members
+
+
+def _service(policy):
+    delay_ms = policy.hedge_delay_ms()
+    return {
+        "hedges": policy.hedges,
+        "retries": policy.retries,
+        "hedge_delay_ms": None if delay_ms is None else round(delay_ms, 3),
+    }
+
+
+def explain_route(node, kind, service_name, selector):
+    """Return where a request would go and why.
+
+    :raises QueryError: as the request itself would.
+    """
+    tier = node.tier
+    configuration = tier.configuration()
+    if service_name is None:
+        service = find_by_labels(configuration, selector, kind)
+    else:
+        service = find_service(configuration, service_name, kind)
+    snapshot = tier.snapshots.choose(service)
+    plan = plan_request(configuration, service, snapshot, selector)
+    shards = []
+    for shard in plan.shards:
+        replicas = []
+        for server in plan.replicas.get(shard, []):
+            replicas.append(_explain_replica(tier, configuration, service, server))
+        shards.append({"shard": shard, "replicas": replicas})
+    return {
+        "service": service.name,
+        "revision": node.keeper.number,
+        "snapshot": snapshot.version,
+        "selector": describe(selector),
+        "shards": shards,
+    }
+
+
+def _explain_replica(tier, configuration, service, server):
+    reasons = []
+    if server.id in configuration.draining:
+        reasons.append("draining by configuration")
+    if tier.leaving.is_leaving(server.id):
+        reasons.append("leaving")
+    if server.id in tier.ejection.ejected:
+        reasons.append("ejected")
+    if not tier.shares.has_room(server, service.connections):
+        reasons.append("no room in this node's share")
+    return {
+        "server": server.id,
+        "address": server.address,
+        "data_centre": server.data_centre,
+        "expected_ms": round(tier.replicas.cost(configuration, service, server), 2),
+        "busy": tier.shares.busy(server),
+        "share": tier.shares.share(server, service.connections),
+        "passed_over": reasons,
+    }
--- a/packages/auburnhollow/src/auburnhollow/routing/replicas.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/replicas.py
@@ -49,18 +49,13 @@
         :param servers: the replicas of the shard.
         :param tried: ids of servers not to ask again.
         """
-        open_to_work = []
-        for server in servers:
-            if server.id in tried or server.id in configuration.draining:
-                continue
-            if self._leaving.is_leaving(server.id):
-                continue
-            if not self._shares.has_room(server, service.connections):
-                continue
-            open_to_work.append(server)
-        if not open_to_work:
+        free = []
+        for server in self.open_to_work(configuration, servers, tried):
+            if self._shares.has_room(server, service.connections):
+                free.append(server)
+        if not free:
             return None
-        good = self._ejection.usable(open_to_work, servers)
+        good = self._ejection.usable(free, servers)
         if len(good) == 1:
             return good[0]
         first, second = self._random.sample(good, 2)
@@ -68,6 +63,16 @@
             return first
         return second
 
+    def open_to_work(self, configuration, servers, tried=()):
+        """Return those of ``servers`` that may get new work, busy or not."""
+        found = []
+        for server in servers:
+            if server.id in tried or server.id in configuration.draining:
+                continue
+            if not self._leaving.is_leaving(server.id):
+                found.append(server)
+        return found
+
     def observe(self, server, latency_ms, load=None, incarnation=None):
         """Take what one call has shown."""
         now_ms = self._clock.now_ms()
--- a/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
@@ -121,9 +121,9 @@
     async def _answer(self, search):
         tier = self._tier
         arrived_ms = tier.clock.now_ms()
-        fingerprint = fingerprint_of(search.service, search.query)
-        tier.quarantine.check(fingerprint)
         service = self._service(search)
+        fingerprint = fingerprint_of(service.name, search.query)
+        tier.quarantine.check(fingerprint)
         plan = self._plan(service, search, search.at_least)
         until_ms = arrived_ms + _patience_ms(search)
         result = await self._fan_out(search, plan, until_ms, fingerprint)
--- a/packages/auburnhollow/src/auburnhollow/scatter/shard.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/shard.py
@@ -14,7 +14,7 @@
 )
 from ..identifiers import new_id
 from ..limits.classes import REPORT
-from ..routing.calls import finish_call
+from ..routing.calls import finish_call, next_server
 from .coverage import Gap, Outcome
 
 RETRY_PAUSE_MS = 2.0
@@ -67,7 +67,13 @@
         last = None
         pause_ms = RETRY_PAUSE_MS
         while self._remaining_ms() > 0:
-            server = await self._next_server()
+            server = await next_server(
+                self._tier,
+                self._plan.service,
+                self._servers(),
+                self._tried,
+                self._search.request_class,
+            )
             if server is None:
                 return self._gap(last)
             try:
@@ -94,22 +100,6 @@
             self._tier.configuration(), self._plan.service, self._servers(), self._tried
         )
 
-    async def _next_server(self):
-        """Return a server to ask; wait for room where all that are left are busy."""
-        while True:
-            server = self._choose()
-            if server is not None:
-                return server
-            busy = [server for server in self._servers() if self._is_only_busy(server)]
-            if not busy:
-                return None
-            await self._tier.shares.room(busy, self._search.request_class)
-
-    def _is_only_busy(self, server):
-        if server.id in self._tried or server.id in self._tier.configuration().draining:
-            return False
-        return not self._tier.leaving.is_leaving(server.id)
-
     async def _ask(self, server):
         """Ask one server, and another one too when the first is slow."""
         if self._tier.quarantine.is_suspect(self._fingerprint):
@@ -117,7 +107,7 @@
             await self._tier.clock.sleep(SUSPECT_PAUSE_MS)
             async with self._tier.quarantine.canary(self._fingerprint) as is_suspect:
                 if is_suspect:
-                    return await self._call(server)
+                    return await self._call(server, as_canary=True)
         return await self._race(server)
 
     async def _race(self, server):
@@ -125,20 +115,21 @@
 
         :raises BackendError: the error of the last call, when none was answered.
         """
-        calls = {asyncio.create_task(self._call(server))}
+        calls = [asyncio.create_task(self._call(server))]
         delay_ms = self._hedge_delay_ms()
         last = None
         try:
             while calls:
                 timeout = None if delay_ms is None else delay_ms / 1000
-                done, calls = await asyncio.wait(
+                done, _ = await asyncio.wait(
                     calls, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
                 )
                 delay_ms = None
                 if not done:
-                    calls |= self._hedge()
+                    calls += self._hedge()
                     continue
-                for call in done:
+                for call in [call for call in calls if call in done]:
+                    calls.remove(call)
                     last = call.exception()
                     if last is None:
                         return call.result()
@@ -155,18 +146,18 @@
         return self._tier.policy(self._plan.service).hedge_delay_ms()
 
     def _hedge(self):
-        """Return a set with a second call, or an empty one where none may be made."""
+        """Return a list with a second call, or an empty one where none may be made."""
         if self._tier.quarantine.is_suspect(self._fingerprint):
-            return set()
+            return []
         server = self._choose()
         if server is None:
-            return set()
+            return []
         if not self._tier.policy(self._plan.service).may_hedge():
-            return set()
+            return []
         self._tier.metrics.incr("scatter.hedges")
-        return {asyncio.create_task(self._call(server))}
+        return [asyncio.create_task(self._call(server))]
 
-    async def _call(self, server):
+    async def _call(self, server, as_canary=False):
         self._tried.add(server.id)
         call = ShardCall(
             request_id=new_id(),
@@ -179,7 +170,13 @@
         self._in_doubt += 1
         try:
             answer = await finish_call(
-                self._tier, self._plan.service, server, call, self._shard, self._fingerprint
+                self._tier,
+                self._plan.service,
+                server,
+                call,
+                self._shard,
+                self._fingerprint,
+                as_canary,
             )
         except BackendError as error:
             if error.ran is Ran.NO:
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/scatter/tests/test_coverage.py
@@ -0,0 +1,128 @@
+"""Promise: every answer states its coverage truly."""
+
+import random
+
+import pytest
+
+from auburnhollow.exceptions import NoShardMatched, QueryError
+from auburnhollow.scatter import Coverage, Gap, Outcome
+from auburnhollow.scatter.coverage import merge_rows
+from auburnhollow_standins.virtual import run_virtually
+from auburnhollow_standins.virtual_fleet import document_of, search_of, virtual_fleet
+
+SEEDS = 150
+STEPS = [
+    "answer",
+    "answer",
+    "partial",
+    "slow",
+    "draining",
+    "overload",
+    "cold",
+    "unreachable",
+    "cut-before",
+    "cut-after",
+    "hang",
+    "silent",
+    "mismatch",
+    "fault",
+]
+
+WRONG_OUTCOMES = [
+    [],
+    [Outcome.answered("a", [])],
+    [Outcome.answered("a", []), Outcome.answered("a", []), Outcome.answered("b", [])],
+    [Outcome.answered("a", []), Outcome.answered("c", [])],
+]
+
+
+@pytest.mark.parametrize("outcomes", WRONG_OUTCOMES)
+def test_coverage_takes_exactly_one_outcome_a_shard(outcomes):
+    with pytest.raises(ValueError, match="one outcome"):
+        Coverage(["a", "b"], outcomes)
+
+
+def test_rows_of_a_split_shard_come_once_and_ties_do_not_depend_on_the_order():
+    one = Outcome.answered("a", [{"id": "x", "score": 1.0}, {"id": "y", "score": 0.5}])
+    two = Outcome.answered("b", [{"id": "x", "score": 1.0}, {"id": "z", "score": 0.5}])
+    rows = merge_rows([one, two], 2)
+    assert [row["id"] for row in rows] == ["x", "y"]
+    assert rows == merge_rows([two, one], 2)
+
+
+def served_in_full(fleet, shard):
+    servers = [server for name, server in fleet.servers.items() if name.startswith(f"{shard}-")]
+    return any(server.ran for server in servers)
+
+
+async def ask_under_faults(seed):
+    seeded = random.Random(seed)
+    document = document_of(shards=5, coverage=seeded.choice(["deadline", "complete"]))
+    async with virtual_fleet(document, nodes=1, seed=seed) as fleet:
+        for server in fleet.servers.values():
+            server.always = seeded.choice(STEPS)
+            server.script.extend(seeded.choices(STEPS, k=seeded.randrange(3)))
+        try:
+            answer = await fleet.nodes["n0"].node.coordinator.search(search_of())
+        except QueryError as error:
+            return fleet, None, error
+        return fleet, answer, None
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_coverage_is_what_the_servers_served(seed):
+    fleet, answer, error = run_virtually(ask_under_faults(seed))
+    if answer is None:
+        if error.ran.value == "no":
+            assert not any(server.ran for server in fleet.servers.values())
+        return
+    assert answer.coverage.asked == 5
+    with_rows = {row["shard"] for row in answer.rows}
+    for shard in answer.coverage.to_map()["shards"]:
+        gap = answer.coverage.gaps.get(shard)
+        if gap is None:
+            assert shard in with_rows
+            assert served_in_full(fleet, shard)
+        elif gap.gap is Gap.PARTIAL:
+            assert shard in with_rows
+        else:
+            assert shard not in with_rows
+
+
+def test_every_shard_with_a_live_replica_answers():
+    async def run():
+        async with virtual_fleet(document_of(shards=10), nodes=1) as fleet:
+            for server in list(fleet.servers.values())[::3]:
+                server.is_dead = True
+            answer = await fleet.nodes["n0"].node.coordinator.search(search_of())
+            assert answer.coverage.is_complete
+            for server in fleet.servers.values():
+                server.is_dead = server.id.startswith("s4-")
+            answer = await fleet.nodes["n0"].node.coordinator.search(search_of())
+            assert set(answer.coverage.gaps) == {"s4"}
+
+    run_virtually(run())
+
+
+def test_a_selector_that_matches_nothing_is_an_error_not_an_empty_answer():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            search = search_of(selector={"name": "nowhere"})
+            with pytest.raises(NoShardMatched):
+                await fleet.nodes["n0"].node.coordinator.search(search)
+
+    run_virtually(run())
+
+
+def test_complete_waits_for_the_last_shard_and_deadline_does_not():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            for replica in range(3):
+                fleet.servers[f"s0-{replica}"].latency_ms = 600.0
+            coordinator = fleet.nodes["n0"].node.coordinator
+            cut = await coordinator.search(search_of(deadline_ms=300.0))
+            whole = await coordinator.search(search_of(deadline_ms=300.0, coverage="complete"))
+        assert {shard: gap.gap for shard, gap in cut.coverage.gaps.items()} == {"s0": Gap.DEADLINE}
+        assert whole.coverage.is_complete
+
+    run_virtually(run())
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/scatter/tests/test_not_run.py
@@ -0,0 +1,53 @@
+"""Promise: a refusal that says "not run" is true."""
+
+import itertools
+
+import pytest
+
+from auburnhollow.exceptions import QueryError, Ran
+from auburnhollow_standins.fakes import RAN_BY_STEP, STEPS
+from auburnhollow_standins.virtual import run_virtually
+from auburnhollow_standins.virtual_fleet import document_of, search_of, virtual_fleet
+
+FAILURES = sorted(set(STEPS) - {"answer", "partial", "slow"})
+PAIRS = list(itertools.product(FAILURES, FAILURES))
+
+
+async def ask(verb, steps):
+    """Ask for one shard whose replicas do ``steps``; return the error and what ran."""
+    async with virtual_fleet(document_of(shards=1, replicas=len(steps)), nodes=1) as fleet:
+        for server, step in zip(fleet.servers.values(), steps, strict=True):
+            server.always = step
+        node = fleet.nodes["n0"].node
+        try:
+            if verb == "search":
+                await node.coordinator.search(search_of())
+            else:
+                await node.orders.run(fleet.order_of(fleet.new_key()))
+        except QueryError as error:
+            return error, [call for server in fleet.servers.values() for call in server.ran]
+    raise AssertionError("an answer where all servers fail")
+
+
+@pytest.mark.parametrize("verb", ["search", "order"])
+@pytest.mark.parametrize("step", FAILURES)
+def test_one_failure(verb, step):
+    error, ran = run_virtually(ask(verb, [step]))
+    if error.ran is Ran.NO:
+        assert not ran
+    if step in RAN_BY_STEP:
+        assert error.ran is Ran.NO
+    if verb == "order":
+        assert len(ran) <= 1
+
+
+@pytest.mark.parametrize("verb", ["search", "order"])
+@pytest.mark.parametrize(("first", "second"), PAIRS)
+def test_two_failures_together(verb, first, second):
+    error, ran = run_virtually(ask(verb, [first, second]))
+    if error.ran is Ran.NO:
+        assert not ran
+    if first in RAN_BY_STEP and second in RAN_BY_STEP:
+        assert error.ran is Ran.NO
+    if verb == "order":
+        assert len(ran) <= 1
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/snapshots/tests/test_one_snapshot.py
@@ -0,0 +1,141 @@
+"""Promise: one snapshot an answer."""
+
+import asyncio
+import copy
+
+import pytest
+
+from auburnhollow.exceptions import NotReady, Unavailable
+from auburnhollow_standins.virtual import run_virtually
+from auburnhollow_standins.virtual_fleet import document_of, search_of, virtual_fleet
+
+
+def hold(fleet, shard, versions, replicas=(0, 1, 2)):
+    for replica in replicas:
+        fleet.servers[f"{shard}-{replica}"].versions = list(versions)
+
+
+def hold_everywhere(fleet, versions):
+    for server in fleet.servers.values():
+        server.versions = list(versions)
+
+
+def one_shard_still_old(fleet):
+    hold(fleet, "s0", [1])
+
+
+def one_replica_cold(fleet):
+    hold(fleet, "s0", [1], replicas=(0,))
+
+
+def two_replicas_old(fleet):
+    hold(fleet, "s0", [1], replicas=(0, 2))
+
+
+def one_shard_lost_the_old_one(fleet):
+    hold(fleet, "s1", [2])
+
+
+def hedge_target_is_old(fleet):
+    fleet.servers["s0-0"].always = "slow"
+    hold(fleet, "s0", [1], replicas=(1, 2))
+
+
+def two_shards_apart(fleet):
+    hold(fleet, "s0", [1])
+    hold(fleet, "s1", [2])
+
+
+# What the servers hold, the version the caller has seen, the snapshot of the answer, the gaps.
+CASES = [
+    (lambda fleet: None, 0, 2, set()),
+    (one_shard_still_old, 0, 1, set()),
+    (one_shard_still_old, 2, 2, {"s0"}),
+    (one_replica_cold, 0, 2, set()),
+    (two_replicas_old, 0, 2, set()),
+    (one_shard_lost_the_old_one, 0, 2, set()),
+    (hedge_target_is_old, 0, 2, set()),
+    (two_shards_apart, 0, 1, {"s1"}),
+    (two_shards_apart, 2, 2, {"s0"}),
+]
+
+
+@pytest.mark.parametrize(("arrange", "at_least", "snapshot", "gaps"), CASES)
+def test_every_row_is_of_the_snapshot(arrange, at_least, snapshot, gaps):
+    async def run():
+        async with virtual_fleet(document_of(versions=(1, 2)), nodes=1) as fleet:
+            hold_everywhere(fleet, [1, 2])
+            arrange(fleet)
+            coordinator = fleet.nodes["n0"].node.coordinator
+            answer = await coordinator.search(search_of(at_least=at_least))
+        assert answer.snapshot == snapshot
+        assert {row["version"] for row in answer.rows} == {snapshot}
+        assert set(answer.coverage.gaps) == gaps
+        assert all(gap.gap.value == "lacks-version" for gap in answer.coverage.gaps.values())
+
+    run_virtually(run())
+
+
+def repartitioned(document):
+    """Split s0 into s0a and s0b, and merge s1 and s2 into s12, as version 2."""
+    changed = copy.deepcopy(document)
+    names = ["s0a", "s0b", "s12", "s3"]
+    shards = [{"name": name, "labels": {}} for name in names]
+    changed["services"][0]["versions"].append({"version": 2, "shards": shards})
+    held = {"s0": ["s0", "s0a", "s0b"], "s1": ["s1", "s12"], "s2": ["s2", "s12"], "s3": ["s3"]}
+    for server in changed["servers"]:
+        server["labels"]["shard"] = held[server["labels"]["shard"]]
+    return changed
+
+
+@pytest.mark.parametrize("held", [[1], [2], [1, 2]])
+def test_a_repartition_in_mid_query_is_counted_against_the_chosen_version(held):
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            hold_everywhere(fleet, [1])
+            for server in fleet.servers.values():
+                server.always = "slow"
+            node = fleet.nodes["n0"].node
+            asked = asyncio.create_task(node.coordinator.search(search_of()))
+            await fleet.clock.sleep(20)
+            await fleet.change(repartitioned(fleet.document), base=1)
+            await fleet.clock.sleep(100)
+            hold_everywhere(fleet, held)
+            during = await asked
+            after = await node.coordinator.search(search_of())
+        assert during.snapshot == 1
+        assert during.coverage.to_map()["shards"] == ["s0", "s1", "s2", "s3"]
+        assert {row["version"] for row in during.rows} == {1}
+        if 2 in held:
+            assert after.snapshot == 2
+            assert after.coverage.to_map()["shards"] == ["s0a", "s0b", "s12", "s3"]
+            # The merged shard's row is held by the servers of both old ones, and comes once.
+            assert len({row["id"] for row in after.rows}) == len(after.rows)
+        else:
+            assert after.snapshot == 1
+        assert {row["version"] for row in after.rows} == {after.snapshot}
+
+    run_virtually(run())
+
+
+def test_a_caller_never_reads_an_older_snapshot_than_it_has_seen():
+    async def run():
+        async with virtual_fleet(document_of(versions=(1,)), nodes=1) as fleet:
+            with pytest.raises(NotReady) as caught:
+                await fleet.nodes["n0"].node.coordinator.search(search_of(at_least=2))
+        assert caught.value.ran.value == "no"
+        assert caught.value.retry_after_ms > 0
+
+    run_virtually(run())
+
+
+def test_no_server_with_any_version_is_a_truthful_refusal():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            hold_everywhere(fleet, [7])
+            with pytest.raises(Unavailable) as caught:
+                await fleet.nodes["n0"].node.coordinator.search(search_of())
+        assert caught.value.ran.value == "no"
+        assert not any(server.ran for server in fleet.servers.values())
+
+    run_virtually(run())
