--- a/packages/auburnhollow/src/auburnhollow/sessions.py
+++ b/packages/auburnhollow/src/auburnhollow/sessions.py
@@ -26,6 +26,10 @@
     UnknownService,
 )
 
+NONE = "none"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+
 KNOWN_ERRORS = {
     error.code: error
     for error in (
@@ -147,8 +151,10 @@
         :param key: the idempotency key; a fresh one is made when there is none. Keep it to ask
             again for the same order.
         """
+        # A key that the session made itself can't have been used before.
+        earlier = UNKNOWN if key is not None else NONE
         key = key or new_key()
-        body = {"service": service, "order": order, "request_id": key, **options}
+        body = {"service": service, "order": order, "earlier": earlier, **options}
         return await self._ask("/v1/orders", body, {"Idempotency-Key": key})
 
     async def _read(self, path, service, query, options):
@@ -170,6 +176,7 @@
             except FINAL:
                 raise
             except QueryError as error:
+                _note_earlier(body, error)
                 wait_ms = error.retry_after_ms
                 if wait_ms is None:
                     wait_ms = pause_ms * (0.5 + self._random.random())
@@ -194,6 +201,16 @@
         raise error_of(answer, body)
 
 
+def _note_earlier(body, error):
+    """Tell the next try of an order what is known of the tries so far."""
+    if "earlier" not in body:
+        return
+    if error.ran is not Ran.NO:
+        body["earlier"] = UNKNOWN
+    elif body["earlier"] == NONE:
+        body["earlier"] = NOT_RUN
+
+
 def error_of(problem, request):
     """Return the :class:`QueryError` that a problem document stands for."""
     kind = KNOWN_ERRORS.get(problem.get("title", "").replace(" ", "-"), QueryError)
