Test limits, retries, routing, membership, peers and checks

Cause: these slices had no tests of their own; only whole requests ran through them.

Cause: the joining dot was set before keys that bring their own bracket.

--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/configuration/tests/test_check.py
@@ -0,0 +1,78 @@
+"""Checks of a configuration: every finding with its place, all together."""
+
+import copy
+
+import pytest
+
+from auburnhollow.configuration import (
+    Configuration,
+    check_document,
+    check_effect,
+    differences,
+)
+from auburnhollow_standins.deployments import DEPLOYMENTS
+from auburnhollow_standins.virtual_fleet import document_of
+
+# A change to a valid document, and the places of the findings that must come of it.
+FAULTS = [
+    (lambda d: d.pop("services"), ["document"]),
+    (lambda d: d.update(servces=[]), ["servces"]),
+    (lambda d: d["services"][0].update(slots=0), ["services[0].slots"]),
+    (lambda d: d["services"][0].update(kinds=["sing"]), ["services[0].kinds[0]"]),
+    (lambda d: d["services"][0]["policy"].update(hedge=1), ["services[0].policy.hedge"]),
+    (
+        lambda d: (d["services"][0].update(slots=0), d["servers"][1].update(address="x")),
+        ["servers[1].address", "services[0].slots"],
+    ),
+    (lambda d: d["servers"][1].update(id="s0-0"), ["servers[1].id"]),
+    (lambda d: d["servers"][1].update(data_centre="mars"), ["servers[1].data_centre"]),
+    (lambda d: d.update(draining=["nobody"]), ["draining[0]"]),
+    (lambda d: d["services"][0].update(selector={"a": "b"}), ["services[0].selector"]),
+    (
+        lambda d: d["services"][0]["versions"][0]["shards"].append({"name": "s9"}),
+        ["services[0].versions[0].shards[4].name"],
+    ),
+    (
+        lambda d: d["services"][0]["versions"].append(d["services"][0]["versions"][0]),
+        ["services[0].versions[1].version"],
+    ),
+]
+
+
+@pytest.mark.parametrize(("change", "places"), FAULTS)
+def test_findings_name_their_places(change, places):
+    document = copy.deepcopy(document_of())
+    change(document)
+    assert sorted(finding.place for finding in check_document(document)) == places
+
+
+@pytest.mark.parametrize("name", sorted(DEPLOYMENTS))
+def test_the_examples_are_valid(name):
+    assert check_document(DEPLOYMENTS[name].document()) == []
+
+
+def test_an_unknown_key_is_told_with_the_nearest_known_one():
+    (finding,) = check_document({**document_of(), "drainin": []})
+    assert "'draining'" in finding.text
+
+
+def test_the_effect_of_a_change_on_routing():
+    before = document_of(shards=1)
+    after = copy.deepcopy(before)
+    after["draining"] = ["s0-0"]
+    after["servers"][1]["labels"]["service"] = "none"
+    (effect,) = check_effect(
+        Configuration.from_document(before), Configuration.from_document(after)
+    )
+    assert effect.lost == ["s0-0", "s0-1"]
+    assert effect.gained == []
+
+
+def test_differences_go_by_id_and_not_by_position():
+    before = document_of(shards=1)
+    after = copy.deepcopy(before)
+    del after["servers"][0]
+    after["services"][0]["slots"] = 9
+    found = {difference.place: difference for difference in differences(before, after)}
+    assert set(found) == {"servers[s0-0]", "services[desk].slots"}
+    assert found["services[desk].slots"].after == 9
--- a/packages/auburnhollow/src/auburnhollow/documents.py
+++ b/packages/auburnhollow/src/auburnhollow/documents.py
@@ -46,5 +46,6 @@
         if isinstance(part, int):
             text += f"[{part}]"
             continue
-        text += f".{part}" if text else str(part)
+        joint = "." if text and not str(part).startswith("[") else ""
+        text += f"{joint}{part}"
     return text or "document"
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/limits/tests/test_limits.py
@@ -0,0 +1,115 @@
+"""Admission and shares."""
+
+import asyncio
+import random
+
+import pytest
+
+from auburnhollow.clock import ManualClock
+from auburnhollow.configuration import Server
+from auburnhollow.events import Recorder
+from auburnhollow.exceptions import Overloaded, Ran
+from auburnhollow.limits import INTERACTIVE, REPORT, URGENT, Gate, Shares, admitted
+from auburnhollow.limits.shares import HEADROOM, share_of
+from auburnhollow_standins.virtual import run_virtually
+
+
+def new_gate(limit=20):
+    clock = ManualClock()
+    return clock, Gate(clock, Recorder("t", clock), random.Random(1), limit)
+
+
+def fill(gate, request_class):
+    """Enter until the class is shed; return how many got in."""
+    entered = 0
+    try:
+        while True:
+            gate.enter(request_class)
+            entered += 1
+    except Overloaded as error:
+        assert error.ran is Ran.NO
+        assert error.retry_after_ms > 0
+    return entered
+
+
+def test_reports_are_shed_first_and_urgent_requests_last():
+    _, gate = new_gate(20)
+    assert fill(gate, REPORT) == 12
+    assert fill(gate, INTERACTIVE) == 5
+    assert fill(gate, URGENT) == 3
+
+
+def test_a_place_is_given_back_whatever_happens():
+    _, gate = new_gate()
+    with pytest.raises(KeyError), admitted(gate, URGENT):
+        raise KeyError
+    assert gate.busy == 0
+
+
+def test_the_limit_falls_under_overload_and_grows_back():
+    clock, gate = new_gate(100)
+    fill(gate, URGENT)
+    for _ in range(30):
+        gate.went_badly()
+        clock.advance(200)
+    low = gate.limit
+    assert low < 60
+    for _ in range(20_000):
+        gate.went_well()
+    assert gate.limit > low
+
+
+def test_retry_times_are_spread():
+    _, gate = new_gate(8)
+    fill(gate, URGENT)
+    waits = set()
+    for _ in range(50):
+        with pytest.raises(Overloaded) as caught:
+            gate.enter(URGENT)
+        waits.add(caught.value.retry_after_ms)
+    assert len(waits) > 20
+
+
+@pytest.mark.parametrize("nodes", [1, 2, 7, 40, 100, 250])
+@pytest.mark.parametrize("connections", [2, 30, 40, 100])
+def test_shares_add_up_to_what_a_server_allows(nodes, connections):
+    names = tuple(f"n{number}" for number in range(nodes))
+    for server in ("a", "b"):
+        total = sum(share_of(name, names, server, connections) for name in names)
+        assert total <= connections
+        assert total == max(1, int(connections * HEADROOM))
+
+
+def test_one_node_more_moves_few_shares():
+    before = tuple(f"n{number}" for number in range(100))
+    after = (*before, "n100")
+    moved = 0
+    for server in range(50):
+        for name in before:
+            old = share_of(name, before, f"s{server}", 40)
+            moved += abs(old - share_of(name, after, f"s{server}", 40))
+    assert moved <= 50
+
+
+def test_urgent_requests_are_woken_first_when_room_comes():
+    async def run():
+        server = Server(id="s", address="10.0.0.1:80", data_centre="x", labels={})
+        shares = Shares("n", lambda: ("n",))
+        shares.enter(server)
+        woken = []
+
+        async def wait(name, request_class):
+            await shares.room([server], request_class)
+            woken.append(name)
+
+        tasks = [asyncio.create_task(wait(name, name)) for name in (REPORT, INTERACTIVE, URGENT)]
+        await asyncio.sleep(0)
+        for _ in range(3):
+            shares.enter(server)
+            shares.leave(server)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        await asyncio.gather(*tasks)
+        assert woken == [URGENT, INTERACTIVE, REPORT]
+
+    run_virtually(run())
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/membership/tests/test_membership.py
@@ -0,0 +1,165 @@
+"""Membership and gossip under failures, in virtual time."""
+
+import pytest
+
+from auburnhollow.gossip import Fact, Table
+from auburnhollow_standins.virtual import VirtualClock, run_virtually
+from auburnhollow_standins.virtual_fleet import virtual_fleet
+
+
+def views(fleet):
+    """Return the set of distinct lists of live nodes."""
+    return {entry.node.membership.present() for entry in fleet.nodes.values()}
+
+
+def everyone(fleet):
+    return {tuple(sorted(fleet.nodes))}
+
+
+async def settled(fleet, limit_ms):
+    """Wait until all live nodes see just the live nodes; return how long it took."""
+    started_ms = fleet.clock.now_ms()
+    while views(fleet) != everyone(fleet):
+        await fleet.clock.sleep(50)
+        assert fleet.clock.now_ms() - started_ms < limit_ms, views(fleet)
+    return fleet.clock.now_ms() - started_ms
+
+
+def test_join_crash_and_replacement():
+    async def run():
+        async with virtual_fleet(nodes=7, loss=0.05) as fleet:
+            await settled(fleet, 10_000)
+            await fleet.kill("n2")
+            await settled(fleet, 30_000)
+            await fleet.add("new").node.start()
+            await settled(fleet, 10_000)
+
+    run_virtually(run())
+
+
+def test_a_node_that_leaves_is_gone_at_once():
+    async def run():
+        async with virtual_fleet(nodes=5) as fleet:
+            await settled(fleet, 10_000)
+            fleet.nodes["n1"].node.membership.leave()
+            await fleet.clock.sleep(1_000)
+            await fleet.kill("n1")
+            assert await settled(fleet, 1_000) == 0
+
+    run_virtually(run())
+
+
+@pytest.mark.parametrize("pause_ms", [1_000, 8_000, 60_000])
+def test_a_paused_node_comes_back_and_blames_nobody(pause_ms):
+    async def run():
+        async with virtual_fleet(nodes=5) as fleet:
+            await settled(fleet, 10_000)
+            paused = fleet.nodes["n3"]
+            paused.pausable.pause()
+            await fleet.clock.sleep(pause_ms)
+            others = [entry for name, entry in fleet.nodes.items() if name != "n3"]
+            for entry in others:
+                assert set(entry.node.membership.present()) >= set(fleet.nodes) - {"n3"}
+            paused.pausable.resume()
+            await settled(fleet, 30_000)
+
+    run_virtually(run())
+
+
+def test_two_sides_of_a_partition_find_each_other_after_an_hour():
+    async def run():
+        async with virtual_fleet(nodes=6) as fleet:
+            await settled(fleet, 10_000)
+            sides = [
+                [fleet.nodes[f"n{number}"] for number in side] for side in ((0, 1, 2), (3, 4, 5))
+            ]
+            fleet.instances.clear()
+            fleet.network.cut(
+                [entry.address for entry in sides[0]], [entry.address for entry in sides[1]]
+            )
+            await fleet.clock.sleep(3_600_000)
+            assert len(views(fleet)) == 2
+            fleet.network.heal()
+            await settled(fleet, 30_000)
+
+    run_virtually(run())
+
+
+def test_all_nodes_are_replaced_within_minutes():
+    async def run():
+        async with virtual_fleet(nodes=4) as fleet:
+            for number in range(4):
+                await fleet.clock.sleep(20_000)
+                await fleet.kill(f"n{number}")
+                await fleet.add(f"m{number}").node.start()
+            await settled(fleet, 30_000)
+            assert fleet.revisions() == {1}
+
+    run_virtually(run())
+
+
+def test_a_mass_restart_under_the_same_ids():
+    async def run():
+        async with virtual_fleet(nodes=5) as fleet:
+            await settled(fleet, 10_000)
+            for name in list(fleet.nodes):
+                await fleet.kill(name)
+            await fleet.clock.sleep(1_000)
+            fleet.instances.clear()
+            for number in range(5):
+                await fleet.add(f"n{number}").node.start()
+            await settled(fleet, 30_000)
+
+    run_virtually(run())
+
+
+def test_a_fresh_node_knows_the_fleet_after_a_second():
+    async def run():
+        async with virtual_fleet(nodes=7) as fleet:
+            await settled(fleet, 10_000)
+            fresh = fleet.add("fresh")
+            await fresh.node.start()
+            await fleet.clock.sleep(1_000)
+            assert len(fresh.node.membership.present()) == 8
+            assert fresh.node.is_ready
+
+    run_virtually(run())
+
+
+def fact(version, key="k", expires_ms=0):
+    return Fact(kind="x", key=key, version=version, value=[], expires_ms=expires_ms)
+
+
+def test_a_table_takes_higher_versions_only_and_its_hash_tells_tables_apart():
+    async def run():
+        clock = VirtualClock()
+        one, two = Table(clock), Table(clock)
+        heard = []
+        one.on("x", heard.append)
+        assert one.put(fact(2))
+        assert not one.put(fact(2))
+        assert not one.put(fact(1))
+        assert len(heard) == 1
+        assert one.digest != two.digest
+        two.put(fact(1))
+        two.put(fact(2))
+        assert one.digest == two.digest
+        assert one.buckets == two.buckets
+
+    run_virtually(run())
+
+
+def test_a_table_is_bounded_and_forgets_what_has_expired():
+    async def run():
+        clock = VirtualClock()
+        table = Table(clock, most=10)
+        for number in range(50):
+            table.put(fact(1, key=str(number), expires_ms=clock.wall_ms() + 1_000))
+        assert len(table) == 10
+        assert not table.put(fact(1, key="old", expires_ms=clock.wall_ms() - 1))
+        await clock.sleep(1_001)
+        assert len(table.expire()) == 10
+        assert len(table) == 0
+        assert table.digest == 0
+
+    run_virtually(run())
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/retry/tests/test_retry.py
@@ -0,0 +1,40 @@
+"""Budgets and hedge delays."""
+
+import pytest
+
+from auburnhollow.clock import ManualClock
+from auburnhollow.retry import Budget, HedgeDelay
+
+
+@pytest.mark.parametrize("fraction", [0.0, 0.05, 0.5])
+def test_extra_attempts_keep_to_the_fraction(fraction):
+    budget = Budget(fraction, burst=10.0)
+    for _ in range(10_000):
+        budget.earn()
+        budget.try_spend()
+    assert budget.spent <= 10_000 * fraction + 10
+    assert budget.spent >= 10_000 * fraction
+    assert budget.spent + budget.refused == 10_000
+
+
+@pytest.mark.parametrize("fraction", [-0.1, 1.1])
+def test_a_fraction_out_of_range_is_refused(fraction):
+    with pytest.raises(ValueError, match="not in"):
+        Budget(fraction)
+
+
+def test_the_delay_is_the_quantile_of_recent_latencies():
+    clock = ManualClock()
+    delay = HedgeDelay(clock, 0.95)
+    first = delay.current_ms()
+    for number in range(1_000):
+        delay.observe(1.0 if number % 100 < 94 else 40.0)
+    assert delay.current_ms() == first
+    clock.advance(200)
+    assert 39 < delay.current_ms() < 41
+    for _ in range(4):
+        clock.advance(10_001)
+        for _ in range(100):
+            delay.observe(2.0)
+    clock.advance(200)
+    assert 1.9 < delay.current_ms() < 2.1
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/routing/tests/test_routing.py
@@ -0,0 +1,137 @@
+"""Plans, ejection and the choice of replicas."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from auburnhollow.clock import ManualClock
+from auburnhollow.configuration import Configuration
+from auburnhollow.drain import Leaving
+from auburnhollow.events import Recorder
+from auburnhollow.exceptions import NoShardMatched, UnknownService
+from auburnhollow.labels import describe, matches
+from auburnhollow.limits import Shares
+from auburnhollow.routing import Ejection, ReplicaChoice
+from auburnhollow.routing.plan import find_by_labels, find_service
+from auburnhollow_standins.virtual_fleet import document_of
+
+SELECTORS = [
+    ({}, True),
+    ({"tier": "gold"}, True),
+    ({"tier": ["silver", "gold"]}, True),
+    ({"tier": "silver"}, False),
+    ({"county": "iasi"}, True),
+    ({"county": ["cluj", "deva"]}, True),
+    ({"absent": None}, True),
+    ({"tier": None}, False),
+    ({"absent": "x"}, False),
+    ({"tier": "gold", "absent": "x"}, False),
+]
+
+
+@pytest.mark.parametrize(("selector", "expected"), SELECTORS)
+def test_selectors(selector, expected):
+    labels = {"tier": "gold", "county": ["cluj", "iasi"]}
+    assert matches(selector, labels) is expected
+    assert describe(selector)
+
+
+class Parts:
+    """The choice of replicas with everything that it needs."""
+
+    def __init__(self, replicas=3):
+        self.clock = ManualClock()
+        events = Recorder("t", self.clock)
+        self.configuration = Configuration.from_document(document_of(1, replicas))
+        self.service = self.configuration.service("desk")
+        self.servers = self.configuration.servers_of(self.service)
+        self.shares = Shares("n", lambda: ("n",))
+        self.ejection = Ejection(self.clock, events)
+        self.leaving = Leaving(events)
+        self.choice = ReplicaChoice(
+            "north", self.clock, random.Random(1), self.shares, self.ejection, self.leaving
+        )
+
+    def choose(self, count=300, tried=()):
+        chosen = Counter()
+        for _ in range(count):
+            server = self.choice.choose(self.configuration, self.service, self.servers, tried)
+            chosen[None if server is None else server.id] += 1
+        return chosen
+
+
+def test_a_slow_server_gets_little_work():
+    parts = Parts()
+    for server in parts.servers:
+        for _ in range(20):
+            parts.choice.observe(server, 100.0 if server.id == "s0-1" else 2.0)
+    assert parts.choose()["s0-1"] == 0
+
+
+def test_a_busy_server_gets_less_work_and_a_full_one_none():
+    parts = Parts(replicas=2)
+    for server in parts.servers:
+        parts.choice.observe(server, 2.0)
+    for _ in range(5):
+        parts.shares.enter(parts.servers[0])
+    assert parts.choose() == {"s0-1": 300}
+    for _ in range(36):
+        parts.shares.enter(parts.servers[1])
+    assert parts.choose() == {"s0-0": 300}
+
+
+def test_a_reported_load_counts_while_it_is_fresh():
+    parts = Parts(replicas=2)
+    for server in parts.servers:
+        parts.choice.observe(server, 2.0, load=20 if server.id == "s0-0" else 0)
+    assert parts.choose() == {"s0-1": 300}
+    parts.clock.advance(2_000)
+    assert len(parts.choose()) == 2 or parts.choose()["s0-0"] > 0
+
+
+def test_what_may_not_be_asked_is_not_chosen():
+    parts = Parts()
+    parts.leaving.sign("s0-0", 1)
+    assert parts.choose(tried=("s0-1",)) == {"s0-2": 300}
+    assert parts.choose(tried=("s0-1", "s0-2")) == {None: 300}
+
+
+def test_a_failing_server_is_ejected_and_comes_back():
+    parts = Parts()
+    for _ in range(3):
+        parts.ejection.failed("s0-2")
+    assert "s0-2" not in parts.choose()
+    parts.clock.advance(1_001)
+    assert parts.choose()["s0-2"] > 0
+
+
+def test_when_too_many_fail_nobody_is_ejected():
+    parts = Parts()
+    for server in parts.servers:
+        for _ in range(3):
+            parts.ejection.failed(server.id)
+    assert len(parts.choose()) == 3
+
+
+def test_a_server_that_started_anew_warms_up():
+    parts = Parts(replicas=2)
+    for server in parts.servers:
+        parts.choice.observe(server, 2.0, incarnation=1)
+    parts.choice.observe(parts.servers[0], 2.0, incarnation=2)
+    assert parts.choose() == {"s0-1": 300}
+    parts.clock.advance(5_001)
+    assert parts.choose()["s0-0"] > 0
+
+
+def test_services_are_found_by_name_or_by_labels_of_one_service_only():
+    document = document_of()
+    other = {**document["services"][0], "name": "other", "labels": {"desk": "no"}}
+    document["services"].append(other)
+    configuration = Configuration.from_document(document)
+    assert find_service(configuration, "desk", "search").name == "desk"
+    with pytest.raises(UnknownService):
+        find_service(configuration, "desk", "check")
+    assert find_by_labels(configuration, {"desk": "no"}, "search").name == "other"
+    with pytest.raises(NoShardMatched):
+        find_by_labels(configuration, {"name": "s0"}, "search")
