Choose replicas by fading latency, and hedge by the server's usual latency

Cause, by traces of slow requests: (1) two random replicas of three often left out the near one, so the median paid a round trip to another data centre; (2) one hedge delay for near and far servers let near stragglers run on; (3) a call that lost to its hedge taught nothing, so a slow server stayed preferred; (4) a server once slow was never tried again, or too soon.

Two slips on the way, each with a test now: a hedge that was given up after 0.2 ms set a server's usual latency to 0.2 ms; a first answer after it was taken for a new incarnation.

--- a/packages/auburnhollow-node/src/auburnhollow_node/status.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/status.py
@@ -50,11 +50,10 @@
 
 
 def _service(policy):
-    delay_ms = policy.hedge_delay_ms()
     return {
         "hedges": policy.hedges,
         "retries": policy.retries,
-        "hedge_delay_ms": None if delay_ms is None else round(delay_ms, 3),
+        "hedge_factor": round(policy.hedge_factor, 2),
     }
 
 
--- a/packages/auburnhollow/src/auburnhollow/retry/hedging.py
+++ b/packages/auburnhollow/src/auburnhollow/retry/hedging.py
@@ -2,60 +2,66 @@
 
 from hdrh.histogram import HdrHistogram
 
-LOWEST_US = 1
-HIGHEST_US = 120_000_000
+LOWEST = 1
+HIGHEST = 10_000_000
 DIGITS = 2
-US_PER_MS = 1000.0
+SCALE = 1_000.0
 WINDOW_MS = 10_000
 ENOUGH_SAMPLES = 50
-FIRST_DELAY_MS = 50.0
+FIRST_FACTOR = 3.0
 REFRESH_MS = 100.0
 
 
 class HedgeDelay:
-    """A quantile of recent latencies, in milliseconds.
+    """How many times its usual latency a call may take before a second one is sent.
 
-    Latencies of the present and the last window count. The quantile is worked out afresh at most
-    every ``REFRESH_MS``.
+    That is a quantile of recent latencies, each over the usual latency of its server, so that one
+    figure goes for near and far servers. The present and the last window count. The quantile is
+    worked out afresh at most every ``REFRESH_MS``.
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param quantile: 0 to 1.
 
-    >>> delay = HedgeDelay(clock, quantile=0.95)
-    >>> delay.observe(3.2)
-    >>> delay.current_ms()
-    50.0
+    >>> delay = HedgeDelay(clock, quantile=0.98)
+    >>> delay.observe(latency_ms=3.2, typical_ms=2.0)
+    >>> delay.current_ms(typical_ms=2.0)
+    6.0
     """
 
-    __slots__ = ("_clock", "_current", "_delay_ms", "_last", "_percentile", "_read_ms", "_turn_ms")
+    __slots__ = ("_clock", "_current", "_factor", "_last", "_percentile", "_read_ms", "_turn_ms")
 
     def __init__(self, clock, quantile):
         self._clock = clock
         self._percentile = quantile * 100.0
-        self._current = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-        self._last = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self._current = HdrHistogram(LOWEST, HIGHEST, DIGITS)
+        self._last = HdrHistogram(LOWEST, HIGHEST, DIGITS)
         self._turn_ms = None
         self._read_ms = None
-        self._delay_ms = FIRST_DELAY_MS
+        self._factor = FIRST_FACTOR
 
-    def observe(self, latency_ms):
-        """Count one latency."""
-        self._turn()
-        self._current.record_value(max(LOWEST_US, int(latency_ms * US_PER_MS)))
-
-    def current_ms(self):
-        """Return the delay after which to hedge."""
+    @property
+    def factor(self):
+        """How many times its usual latency a call may take."""
         now_ms = self._clock.now_ms()
         if self._read_ms is not None and now_ms - self._read_ms < REFRESH_MS:
-            return self._delay_ms
+            return self._factor
         self._read_ms = now_ms
         source = self._current
         if source.get_total_count() < ENOUGH_SAMPLES:
             source = self._last
-        if source.get_total_count() < ENOUGH_SAMPLES:
-            return self._delay_ms
-        self._delay_ms = source.get_value_at_percentile(self._percentile) / US_PER_MS
-        return self._delay_ms
+        if source.get_total_count() >= ENOUGH_SAMPLES:
+            self._factor = source.get_value_at_percentile(self._percentile) / SCALE
+        return self._factor
+
+    def observe(self, latency_ms, typical_ms):
+        """Count one latency beside the usual one of its server."""
+        self._turn()
+        factor = latency_ms / max(typical_ms, 1e-6)
+        self._current.record_value(min(HIGHEST, max(LOWEST, int(factor * SCALE))))
+
+    def current_ms(self, typical_ms):
+        """Return the delay after which to hedge a call to a server."""
+        return self.factor * typical_ms
 
     def _turn(self):
         now_ms = self._clock.now_ms()
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -1,5 +1,7 @@
 """One call to one backend server, with everything that it teaches."""
 
+import asyncio
+
 from ..backends import ShardCall
 from ..exceptions import (
     BackendCut,
@@ -54,6 +56,11 @@
         tier.events.record("server-died", server=server.id, request_id=call.request_id)
         tier.quarantine.died(server.id, shard, fingerprint, as_canary)
         raise
+    except asyncio.CancelledError:
+        # Another replica was quicker: this one takes at least as long as it has taken so far.
+        lasted_ms = tier.clock.now_ms() - started_ms
+        tier.replicas.observe_at_least(tier.configuration(), server, lasted_ms)
+        raise
     except BackendError as error:
         _learn_from_error(tier, service, server, error)
         raise
@@ -67,7 +74,8 @@
     load = getattr(answer, "load", None)
     tier.replicas.observe(server, latency_ms, load, answer.incarnation)
     if isinstance(call, ShardCall):
-        tier.policy(service).observe(latency_ms)
+        typical_ms = tier.replicas.typical_ms(tier.configuration(), server)
+        tier.policy(service).observe(latency_ms, typical_ms)
     return answer
 
 
--- a/packages/auburnhollow/src/auburnhollow/routing/replicas.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/replicas.py
@@ -1,28 +1,51 @@
 """Choosing one replica of a shard."""
 
+import math
+
 from ..records import Record
 
-SMOOTHING = 0.2
+SAMPLED = 3
+BLUR = 0.2
+SMOOTHING = 0.3
+LATE_SMOOTHING = 0.5
+TYPICAL_STEP = 0.05
+FORGET_MS = 3_000.0
 FIRST_LATENCY_MS = 5.0
 LOAD_FRESH_MS = 1_000.0
 WARM_UP_MS = 5_000.0
 COLD_WEIGHT = 4.0
 ACROSS_CENTRES_MS = 7.0
 ACROSS_REGIONS_MS = 24.0
+UNKNOWN = 0
 
 
 class Measured(Record):
-    """What calls to one server have shown: smoothed latency, its own word of its load."""
+    """What calls to one server have shown.
+
+    ``latency_ms`` is the smoothed latency, ``typical_ms`` its running median, ``seen_ms`` the time
+    of the last call, ``load`` the server's own word at ``load_ms``, ``since_ms`` when the present
+    ``incarnation`` was first met, ``None`` for the first of all.
+    """
 
-    __slots__ = ("latency_ms", "load", "load_ms", "since_ms", "incarnation")
+    __slots__ = (
+        "latency_ms",
+        "typical_ms",
+        "seen_ms",
+        "load",
+        "load_ms",
+        "since_ms",
+        "incarnation",
+    )
 
 
 class ReplicaChoice:
     """Chooses replicas by outstanding calls, measured latency and reported load.
 
-    The better of two random replicas is taken (power of two choices: M. Mitzenmacher, 2001). A
-    server that has just started counts as slower until it is warm. Latency as measured holds the
-    distance between data centres; before the first answer the usual round trip stands in for it.
+    The best of ``SAMPLED`` random replicas is taken (power of choices: M. Mitzenmacher, 2001). A
+    server that was slow is tried again after a while: what is known of it fades towards its
+    typical latency. A server that has just started counts as slower until it is warm. Latency as
+    measured holds the distance between data centres; before the first answer the usual round trip
+    stands in for it.
 
     :param place: data centre of this node.
     :param clock: :class:`~auburnhollow.clock.Clock`.
@@ -56,12 +79,10 @@
         if not free:
             return None
         good = self._ejection.usable(free, servers)
-        if len(good) == 1:
-            return good[0]
-        first, second = self._random.sample(good, 2)
-        if self._cost(configuration, service, first) <= self._cost(configuration, service, second):
-            return first
-        return second
+        sampled = self._random.sample(good, min(SAMPLED, len(good)))
+        if len(sampled) == 1:
+            return sampled[0]
+        return min(sampled, key=lambda server: self._blurred_cost(configuration, service, server))
 
     def open_to_work(self, configuration, servers, tried=()):
         """Return those of ``servers`` that may get new work, busy or not."""
@@ -77,31 +98,49 @@
         """Take what one call has shown."""
         now_ms = self._clock.now_ms()
         measured = self._measured.get(server.id)
-        if measured is None or (incarnation is not None and incarnation > measured.incarnation):
-            since_ms = None if measured is None else now_ms
-            measured = Measured(
-                latency_ms=latency_ms,
-                load=0,
-                load_ms=None,
-                since_ms=since_ms,
-                incarnation=incarnation or 0,
-            )
+        if measured is None or measured.incarnation < (incarnation or UNKNOWN):
+            started_anew = measured is not None and measured.incarnation != UNKNOWN
+            measured = _first_measure(latency_ms, now_ms)
+            measured.since_ms = now_ms if started_anew else None
+            measured.incarnation = incarnation or UNKNOWN
             self._measured[server.id] = measured
-        measured.latency_ms += SMOOTHING * (latency_ms - measured.latency_ms)
+        known_ms = _faded_ms(measured, now_ms)
+        measured.latency_ms = known_ms + SMOOTHING * (latency_ms - known_ms)
+        measured.seen_ms = now_ms
+        # A running median that single outliers can't pull along (frugal streaming: Q. Ma et al.,
+        # 2013).
+        if latency_ms > measured.typical_ms:
+            measured.typical_ms *= 1.0 + TYPICAL_STEP
+        else:
+            measured.typical_ms *= 1.0 - TYPICAL_STEP
         if load is not None:
             measured.load = load
             measured.load_ms = now_ms
 
-    def cost(self, configuration, service, server):
-        """Return the expected latency of one call in milliseconds, for people who ask why."""
-        return self._cost(configuration, service, server)
+    def observe_at_least(self, configuration, server, latency_ms):
+        """Take that a call which was given up had lasted ``latency_ms`` by then.
 
-    def forget(self, known):
-        """Drop what is kept of servers that are not in ``known``."""
-        for server in [server for server in self._measured if server not in known]:
-            del self._measured[server]
+        One such call may be chance; two in a row say that the server is slow just now.
+        """
+        now_ms = self._clock.now_ms()
+        measured = self._measured.get(server.id)
+        if measured is None:
+            first_ms = FIRST_LATENCY_MS + self._distance_ms(configuration, server)
+            measured = _first_measure(first_ms, now_ms)
+            self._measured[server.id] = measured
+        known_ms = _faded_ms(measured, now_ms)
+        measured.latency_ms = known_ms + LATE_SMOOTHING * max(0.0, latency_ms - known_ms)
+        measured.seen_ms = now_ms
 
-    def _cost(self, configuration, service, server):
+    def typical_ms(self, configuration, server):
+        """Return the usual latency of a call to the server, in milliseconds."""
+        measured = self._measured.get(server.id)
+        if measured is None:
+            return FIRST_LATENCY_MS + self._distance_ms(configuration, server)
+        return measured.typical_ms
+
+    def cost(self, configuration, service, server):
+        """Return the expected latency of one call in milliseconds."""
         now_ms = self._clock.now_ms()
         busy = self._shares.busy(server)
         measured = self._measured.get(server.id)
@@ -110,11 +149,21 @@
             return (FIRST_LATENCY_MS + distance_ms) * (1.0 + busy / service.slots)
         if measured.load_ms is not None and now_ms - measured.load_ms < LOAD_FRESH_MS:
             busy = max(busy, measured.load)
-        cost = measured.latency_ms * (1.0 + busy / service.slots)
+        cost = _faded_ms(measured, now_ms) * (1.0 + busy / service.slots)
         if measured.since_ms is not None and now_ms - measured.since_ms < WARM_UP_MS:
             cost *= COLD_WEIGHT
         return cost
 
+    def _blurred_cost(self, configuration, service, server):
+        """Return the cost within ``BLUR``, so that nodes do not all prefer the same server."""
+        blur = 1.0 + BLUR * self._random.random()
+        return self.cost(configuration, service, server) * blur
+
+    def forget(self, known):
+        """Drop what is kept of servers that are not in ``known``."""
+        for server in [server for server in self._measured if server not in known]:
+            del self._measured[server]
+
     def _distance_ms(self, configuration, server):
         if server.data_centre == self._place:
             return 0.0
@@ -122,3 +171,21 @@
         if regions.get(server.data_centre) == regions.get(self._place):
             return ACROSS_CENTRES_MS
         return ACROSS_REGIONS_MS
+
+
+def _faded_ms(measured, now_ms):
+    """Return the smoothed latency, faded towards the typical one since the last call."""
+    weight = math.exp((measured.seen_ms - now_ms) / FORGET_MS)
+    return measured.typical_ms + (measured.latency_ms - measured.typical_ms) * weight
+
+
+def _first_measure(latency_ms, now_ms):
+    return Measured(
+        latency_ms=latency_ms,
+        typical_ms=latency_ms,
+        seen_ms=now_ms,
+        load=0,
+        load_ms=None,
+        since_ms=None,
+        incarnation=UNKNOWN,
+    )
--- a/packages/auburnhollow/src/auburnhollow/routing/tests/test_routing.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/tests/test_routing.py
@@ -99,6 +99,8 @@
 
 def test_a_failing_server_is_ejected_and_comes_back():
     parts = Parts()
+    for server in parts.servers:
+        parts.choice.observe(server, 2.0)
     for _ in range(3):
         parts.ejection.failed("s0-2")
     assert "s0-2" not in parts.choose()
@@ -109,11 +111,31 @@
 def test_when_too_many_fail_nobody_is_ejected():
     parts = Parts()
     for server in parts.servers:
+        parts.choice.observe(server, 2.0)
         for _ in range(3):
             parts.ejection.failed(server.id)
     assert len(parts.choose()) == 3
 
 
+def test_a_server_that_was_slow_is_tried_again_after_a_while():
+    parts = Parts(replicas=2)
+    for server in parts.servers:
+        for _ in range(5):
+            parts.choice.observe(server, 2.0)
+    parts.choice.observe_at_least(parts.configuration, parts.servers[0], 40.0)
+    assert parts.choose() == {"s0-1": 300}
+    parts.clock.advance(60_000)
+    assert len(parts.choose()) == 2
+
+
+def test_a_first_call_that_was_given_up_is_no_sign_of_a_new_incarnation():
+    parts = Parts(replicas=2)
+    parts.choice.observe_at_least(parts.configuration, parts.servers[0], 0.2)
+    for server in parts.servers:
+        parts.choice.observe(server, 2.0, incarnation=1)
+    assert len(parts.choose()) == 2
+
+
 def test_a_server_that_started_anew_warms_up():
     parts = Parts(replicas=2)
     for server in parts.servers:
--- a/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
@@ -61,7 +61,7 @@
     def policy(self, service):
         """Return the :class:`ServicePolicy` of a service."""
         found = self.policies.get(service.name)
-        if found is None or found.policy != service.policy:
+        if found is None or not found.follows(service.policy):
             found = ServicePolicy(self.clock, service.policy)
             self.policies[service.name] = found
         return found
--- a/packages/auburnhollow/src/auburnhollow/scatter/policy.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/policy.py
@@ -26,11 +26,6 @@
         self._delay = HedgeDelay(clock, policy.hedge_quantile)
         self._overload_ms = None
 
-    @property
-    def policy(self):
-        """The operators' :class:`Policy` that this one was made for."""
-        return self._policy
-
     @property
     def hedges(self):
         """How many hedges were sent."""
@@ -41,24 +36,41 @@
         """How many retries were charged to the budget."""
         return self._retries.spent
 
+    def follows(self, policy):
+        """Return whether this one was made for an equal :class:`Policy`."""
+        if policy is self._policy:
+            return True
+        if policy != self._policy:
+            return False
+        self._policy = policy
+        return True
+
     def earn(self):
         """Count one first attempt."""
         self._hedges.earn()
         self._retries.earn()
 
-    def observe(self, latency_ms):
-        """Count the latency of one answered call."""
-        self._delay.observe(latency_ms)
+    def observe(self, latency_ms, typical_ms):
+        """Count the latency of one answered call, beside the usual one of its server."""
+        self._delay.observe(latency_ms, typical_ms)
 
     def overloaded(self):
         """Note that a server of the service is overloaded."""
         self._overload_ms = self._clock.now_ms()
 
-    def hedge_delay_ms(self):
-        """Return how long to wait before a second call, or ``None`` for never."""
+    @property
+    def hedge_factor(self):
+        """How many times its usual latency a call may take before a second one is sent."""
+        return self._delay.factor
+
+    def hedge_delay_ms(self, typical_ms):
+        """Return how long to wait before a second call, or ``None`` for never.
+
+        :param typical_ms: usual latency of the server that was called.
+        """
         if self._policy.hedge_fraction == 0 or self._is_overloaded():
             return None
-        return max(LEAST_HEDGE_MS, self._delay.current_ms())
+        return max(LEAST_HEDGE_MS, self._delay.current_ms(typical_ms))
 
     def may_hedge(self):
         """Spend one hedge, if one is left."""
--- a/packages/auburnhollow/src/auburnhollow/scatter/shard.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/shard.py
@@ -17,6 +17,7 @@
 from ..routing.calls import finish_call, next_server
 from .coverage import Gap, Outcome
 
+MOST_HEDGES = 2
 RETRY_PAUSE_MS = 2.0
 LONGEST_RETRY_PAUSE_MS = 100.0
 SUSPECT_PAUSE_MS = 25.0
@@ -111,12 +112,13 @@
         return await self._race(server)
 
     async def _race(self, server):
-        """Return the first good answer of at most two calls.
+        """Return the first good answer; each call that is late brings one more, within bounds.
 
         :raises BackendError: the error of the last call, when none was answered.
         """
         calls = [asyncio.create_task(self._call(server))]
-        delay_ms = self._hedge_delay_ms()
+        delay_ms = self._hedge_delay_ms(server)
+        hedges = 0
         last = None
         try:
             while calls:
@@ -124,9 +126,14 @@
                 done, _ = await asyncio.wait(
                     calls, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
                 )
-                delay_ms = None
                 if not done:
-                    calls += self._hedge()
+                    hedge = self._hedge()
+                    hedges += 1
+                    delay_ms = None
+                    if hedge is not None:
+                        calls.append(asyncio.create_task(self._call(hedge)))
+                        if hedges < MOST_HEDGES:
+                            delay_ms = self._hedge_delay_ms(hedge)
                     continue
                 for call in [call for call in calls if call in done]:
                     calls.remove(call)
@@ -140,22 +147,21 @@
             for call in calls:
                 call.cancel()
 
-    def _hedge_delay_ms(self):
+    def _hedge_delay_ms(self, server):
         if self._search.request_class == REPORT:
             return None
-        return self._tier.policy(self._plan.service).hedge_delay_ms()
+        typical_ms = self._tier.replicas.typical_ms(self._tier.configuration(), server)
+        return self._tier.policy(self._plan.service).hedge_delay_ms(typical_ms)
 
     def _hedge(self):
-        """Return a list with a second call, or an empty one where none may be made."""
+        """Return a server for one more call, or ``None`` where none may be made."""
         if self._tier.quarantine.is_suspect(self._fingerprint):
-            return []
+            return None
         server = self._choose()
-        if server is None:
-            return []
-        if not self._tier.policy(self._plan.service).may_hedge():
-            return []
+        if server is None or not self._tier.policy(self._plan.service).may_hedge():
+            return None
         self._tier.metrics.incr("scatter.hedges")
-        return [asyncio.create_task(self._call(server))]
+        return server
 
     async def _call(self, server, as_canary=False):
         self._tried.add(server.id)
