Add the load and experiment tool

Cause: decisions under load had no measurement of their own.

Real processes give CPU, memory and bytes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import fire
 
-from . import scale
+from . import calls, real, scale, scenario
 
 
 class Bench:
@@ -12,6 +12,18 @@
         """Control work of one node as the fleet grows, in virtual time."""
         scale.run(_numbers(sizes), seed)
 
+    def real(self, sizes=real.SIZES):
+        """Control work of real node processes at several sizes."""
+        real.run(_numbers(sizes))
+
+    def calls(self, shards=calls.SHARDS):
+        """Processor time of one replica call, beside the bare client library."""
+        calls.run(_numbers(shards))
+
+    def scenario(self, *names, seed=1):
+        """Latency, coverage and extra load beside baselines, in virtual time."""
+        scenario.run(names, seed)
+
 
 def _numbers(value):
     return (value,) if isinstance(value, int) else tuple(value)
--- a/standins/src/auburnhollow_standins/virtual_fleet.py
+++ b/standins/src/auburnhollow_standins/virtual_fleet.py
@@ -105,9 +105,20 @@
     """Nodes over one fake store, one fake network and fake backend servers.
 
     :param document: the first configuration; see :func:`document_of`.
+    :param make_backends: function of a clock that returns a node's
+        :class:`~auburnhollow.backends.BackendClient`; fakes when absent.
     """
 
-    def __init__(self, document=None, nodes=3, seed=1, loss=0.0, copies=True, settings=None):
+    def __init__(
+        self,
+        document=None,
+        nodes=3,
+        seed=1,
+        loss=0.0,
+        copies=True,
+        settings=None,
+        make_backends=None,
+    ):
         self.document = document or document_of()
         self.random = random.Random(seed)
         self.clock = VirtualClock()
@@ -119,6 +130,7 @@
         self._count = nodes
         self._seed = seed
         self._settings = settings or {}
+        self._make_backends = make_backends
         for entry in self.document["servers"]:
             shard = entry["labels"]["shard"]
             rows = [{"id": f"{shard}-row", "score": 1.0, "shard": shard}]
@@ -152,7 +164,7 @@
             self._settings_of(name, number, address),
             store,
             FakeInstances(self.instances),
-            FakeBackends(self.servers, clock, pausable),
+            self._backends(clock, pausable),
             lambda _metrics: FakePeers(self.network, f"{address}:7000", clock),
             clock,
         )
@@ -203,6 +215,11 @@
         """Return a fresh key, issued ``age_ms`` ago."""
         return f"{self.clock.wall_ms() - age_ms}.{self.random.getrandbits(64):016x}"
 
+    def _backends(self, clock, pausable):
+        if self._make_backends is not None:
+            return self._make_backends(clock)
+        return FakeBackends(self.servers, clock, pausable)
+
     def _instance(self, name, entry):
         return Instance(
             id=name,
