Expect of an unknown server what its data centre has shown; describe the API

Cause, by traces at 330 shards: the slowest requests of the first seconds waited 15 ms for a hedge on servers that had never answered, since a fixed 5 ms stood in for them; and a fan-out of 330 used up a burst of 10 hedges.

Changed: the running median of a data centre's servers stands in for a server that has not answered, and up to 60 hedges may come at once; the bound of 5 % on average stays.

--- a/packages/auburnhollow-node/src/auburnhollow_node/front/callers.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/front/callers.py
@@ -2,12 +2,13 @@
 
 import orjson
 
+from auburnhollow import __version__
 from auburnhollow.configuration.schema import CHECK, ORDER, SEARCH
 from auburnhollow.exceptions import NotReady, QueryError
 from auburnhollow.metrics import timed
 from auburnhollow.routing.plan import find_by_labels, find_service
 
-from . import bodies
+from . import bodies, openapi
 
 JSON = "application/json"
 PARTIAL_STATUS = 207
@@ -146,6 +147,20 @@
         response.media = {"alive": True}
 
 
+class Description:
+    """Gives the OpenAPI document."""
+
+    __slots__ = ("_data",)
+
+    def __init__(self):
+        self._data = orjson.dumps(openapi.document(__version__))
+
+    async def on_get(self, _request, response):
+        """Answer with the document."""
+        response.content_type = JSON
+        response.data = self._data
+
+
 class ClosesConnections:
     """Middleware: asks callers to close their connections while the node shuts down.
 
@@ -170,4 +185,5 @@
     app.add_route("/v1/orders", Orders(node))
     app.add_route("/readyz", Ready(node))
     app.add_route("/healthz", Alive())
+    app.add_route("/openapi.json", Description())
     app.add_middleware(ClosesConnections(node))
--- a/packages/auburnhollow/src/auburnhollow/routing/replicas.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/replicas.py
@@ -45,7 +45,7 @@
     server that was slow is tried again after a while: what is known of it fades towards its
     typical latency. A server that has just started counts as slower until it is warm. Latency as
     measured holds the distance between data centres; before the first answer the usual round trip
-    stands in for it.
+    stands in for it, and later what other servers of the same data centre have shown.
 
     :param place: data centre of this node.
     :param clock: :class:`~auburnhollow.clock.Clock`.
@@ -55,7 +55,16 @@
     :param leaving: :class:`~auburnhollow.drain.Leaving`.
     """
 
-    __slots__ = ("_clock", "_ejection", "_leaving", "_measured", "_place", "_random", "_shares")
+    __slots__ = (
+        "_centres_ms",
+        "_clock",
+        "_ejection",
+        "_leaving",
+        "_measured",
+        "_place",
+        "_random",
+        "_shares",
+    )
 
     def __init__(self, place, clock, random, shares, ejection, leaving):
         self._place = place
@@ -65,6 +74,7 @@
         self._ejection = ejection
         self._leaving = leaving
         self._measured = {}
+        self._centres_ms = {}
 
     def choose(self, configuration, service, servers, tried=()):
         """Return a server for one call, or ``None`` when there is none.
@@ -107,12 +117,9 @@
         known_ms = _faded_ms(measured, now_ms)
         measured.latency_ms = known_ms + SMOOTHING * (latency_ms - known_ms)
         measured.seen_ms = now_ms
-        # A running median that single outliers can't pull along (frugal streaming: Q. Ma et al.,
-        # 2013).
-        if latency_ms > measured.typical_ms:
-            measured.typical_ms *= 1.0 + TYPICAL_STEP
-        else:
-            measured.typical_ms *= 1.0 - TYPICAL_STEP
+        measured.typical_ms = _stepped(measured.typical_ms, latency_ms)
+        centre_ms = self._centres_ms.get(server.data_centre, latency_ms)
+        self._centres_ms[server.data_centre] = _stepped(centre_ms, latency_ms)
         if load is not None:
             measured.load = load
             measured.load_ms = now_ms
@@ -125,8 +132,7 @@
         now_ms = self._clock.now_ms()
         measured = self._measured.get(server.id)
         if measured is None:
-            first_ms = FIRST_LATENCY_MS + self._distance_ms(configuration, server)
-            measured = _first_measure(first_ms, now_ms)
+            measured = _first_measure(self._first_ms(configuration, server), now_ms)
             self._measured[server.id] = measured
         known_ms = _faded_ms(measured, now_ms)
         measured.latency_ms = known_ms + LATE_SMOOTHING * max(0.0, latency_ms - known_ms)
@@ -136,7 +142,7 @@
         """Return the usual latency of a call to the server, in milliseconds."""
         measured = self._measured.get(server.id)
         if measured is None:
-            return FIRST_LATENCY_MS + self._distance_ms(configuration, server)
+            return self._first_ms(configuration, server)
         return measured.typical_ms
 
     def cost(self, configuration, service, server):
@@ -145,8 +151,7 @@
         busy = self._shares.busy(server)
         measured = self._measured.get(server.id)
         if measured is None:
-            distance_ms = self._distance_ms(configuration, server)
-            return (FIRST_LATENCY_MS + distance_ms) * (1.0 + busy / service.slots)
+            return self._first_ms(configuration, server) * (1.0 + busy / service.slots)
         if measured.load_ms is not None and now_ms - measured.load_ms < LOAD_FRESH_MS:
             busy = max(busy, measured.load)
         cost = _faded_ms(measured, now_ms) * (1.0 + busy / service.slots)
@@ -164,13 +169,26 @@
         for server in [server for server in self._measured if server not in known]:
             del self._measured[server]
 
-    def _distance_ms(self, configuration, server):
+    def _first_ms(self, configuration, server):
+        """Return what is expected of a server that has not answered yet."""
+        shown_ms = self._centres_ms.get(server.data_centre)
+        if shown_ms is not None:
+            return shown_ms
         if server.data_centre == self._place:
-            return 0.0
+            return FIRST_LATENCY_MS
         regions = configuration.regions
         if regions.get(server.data_centre) == regions.get(self._place):
-            return ACROSS_CENTRES_MS
-        return ACROSS_REGIONS_MS
+            return FIRST_LATENCY_MS + ACROSS_CENTRES_MS
+        return FIRST_LATENCY_MS + ACROSS_REGIONS_MS
+
+
+def _stepped(median_ms, latency_ms):
+    """Return a running median one step on; single outliers can't pull it along.
+
+    Frugal streaming: Q. Ma, S. Muthukrishnan, M. Sandler, 2013.
+    """
+    step = TYPICAL_STEP if latency_ms > median_ms else -TYPICAL_STEP
+    return median_ms * (1.0 + step)
 
 
 def _faded_ms(measured, now_ms):
--- a/packages/auburnhollow/src/auburnhollow/scatter/policy.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/policy.py
@@ -4,6 +4,7 @@
 
 OVERLOAD_PAUSE_MS = 1_000.0
 LEAST_HEDGE_MS = 1.0
+HEDGE_BURST = 60.0
 
 
 class ServicePolicy:
@@ -21,7 +22,7 @@
     def __init__(self, clock, policy):
         self._clock = clock
         self._policy = policy
-        self._hedges = Budget(policy.hedge_fraction)
+        self._hedges = Budget(policy.hedge_fraction, burst=HEDGE_BURST)
         self._retries = Budget(policy.retry_fraction)
         self._delay = HedgeDelay(clock, policy.hedge_quantile)
         self._overload_ms = None
