Let outcomes wait for claims, and keep claims in fewer, shorter records

Cause: each order made two writes of its own (claim, outcome), and 64 records a minute at 2.5 writes a second each wait up to 400 ms for the next write under load. Ruled out: conflicts (none) and reads.

Changed: an outcome goes with the next claim or after 500 ms; 16 ranges with buckets of 10 s and 10 writes a second each, the same 160 writes a second.

--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,4 @@
 	$(BIN)/python -m auburnhollow_standins.demo $(if $(KEEP),--keep)
 
 bench: setup
-	$(BIN)/python -m bench --short
+	$(BIN)/python -m bench short
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import fire
 
-from . import calls, real, scale, scenario
+from . import calls, claims, histories, real, scale, scenario
 
 
 class Bench:
@@ -20,6 +20,21 @@
         """Processor time of one replica call, beside the bare client library."""
         calls.run(_numbers(shards))
 
+    def claims(self, rates=claims.RATES):
+        """Store writes and added latency of orders, in virtual time."""
+        claims.run(_numbers(rates))
+
+    def histories(self, first=0, count=histories.COUNT):
+        """Histories of orders under random faults: violations, and how the callers ended."""
+        histories.run(first, count)
+
+    def short(self):
+        """Run a short form of the main experiments."""
+        scenario.run(scenario.SHORT, seconds=5.0)
+        claims.run(rates=(10, 1_000))
+        calls.run(shard_counts=(10, 30))
+        scale.run(sizes=(7, 60))
+
     def scenario(self, *names, seed=1):
         """Latency, coverage and extra load beside baselines, in virtual time."""
         scenario.run(names, seed)
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -14,10 +14,12 @@
 from auburnhollow_standins.virtual_fleet import document_of, search_of, virtual_fleet
 
 from .model import ModelBackends, ServerModel
+from .pictures import draw_run
 from .results import save, table
 from .strategies import install
 
 FOLDER = Path(__file__).parent / "scenarios"
+SHORT = ("slow-1-10", "slow-5-10")
 STRATEGIES = ("product", "random", "oracle")
 HIGHEST_US = 600_000_000
 SLICE_MS = 250.0
@@ -230,12 +232,19 @@
     return runs, rows
 
 
-def run(chosen=None, seed=1):
-    """Run scenarios by name, print a table and save the rows."""
+def run(chosen=None, seed=1, seconds=None):
+    """Run scenarios by name, print a table, and save rows and pictures.
+
+    :param seconds: length of each, instead of the scenario's own.
+    """
     rows = []
     for name in chosen or names():
-        _, more = run_scenario(read_scenario(name), seed)
+        scenario = read_scenario(name)
+        if seconds is not None:
+            scenario["seconds"] = seconds
+        runs, more = run_scenario(scenario, seed)
         rows += more
+        save(f"scenario-{name}", {"seed": seed, "scenario": scenario, "rows": more})
+        draw_run(name, runs)
     print(table(COLUMNS, rows))
-    save("scenarios", {"rows": rows})
     return rows
--- a/packages/auburnhollow/src/auburnhollow/once/ledger.py
+++ b/packages/auburnhollow/src/auburnhollow/once/ledger.py
@@ -12,8 +12,9 @@
 
 KEEP_MS = 7_200_000
 LARGEST_RECORD = 900_000
-BURST_WRITES = 3.0
-WRITES_PER_S = 2.5
+BURST_WRITES = 5.0
+WRITES_PER_S = 10.0
+SETTLE_WAIT_MS = 500.0
 CONFLICT_TRIES = 8
 IDLE_MS = 120_000.0
 FULL_RETRY_MS = 60_000
@@ -28,6 +29,8 @@
 class RecordWriter:
     """Writes one record: everything that has come since the last write goes in the next.
 
+    What can wait, such as outcomes, goes with the next claim or after a while.
+
     A write is a compare-and-swap on the record, so two writers of one record never undo each
     other; whoever is late reads again. At most ``WRITES_PER_S`` go out, with a small burst, so
     that load makes the batches larger and not the writes more.
@@ -63,22 +66,29 @@
     @property
     def is_busy(self):
         """Whether a write is in progress or waits."""
-        return self._task is not None
+        return self._task is not None or bool(self._wishes)
 
-    async def write(self, ask, apply):
+    async def write(self, ask, apply, wait_ms=0.0):
         """Apply a change in the next write; return the claim that stands after it.
 
         :param apply: function of the record and ``ask`` that changes the record.
+        :param wait_ms: how long the change may wait for others to go with, in milliseconds.
         :raises StoreUnavailable: when nothing was written.
         :raises StoreOutcomeUnknown: when the change may have been written.
         """
         self.used_ms = self._clock.now_ms()
         waiter = asyncio.get_running_loop().create_future()
         self._wishes.append(Wish(ask=ask, apply=apply, waiter=waiter))
-        if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._run())
+        if wait_ms > 0:
+            asyncio.get_running_loop().call_later(wait_ms / 1000, self._start)
+        else:
+            self._start()
         return await waiter
 
+    def _start(self):
+        if self._task is None and self._wishes:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
     async def _run(self):
         try:
             while self._wishes:
@@ -178,7 +188,7 @@
 
     async def settle(self, ask):
         """Keep the end of an attempt, :class:`SettleAsk`; return the claim that stands."""
-        return await self._writer(ask.record_key).write(ask, apply_settle)
+        return await self._writer(ask.record_key).write(ask, apply_settle, wait_ms=SETTLE_WAIT_MS)
 
     def _writer(self, record_key):
         writer = self._writers.get(record_key)
--- a/packages/auburnhollow/src/auburnhollow/once/requests.py
+++ b/packages/auburnhollow/src/auburnhollow/once/requests.py
@@ -10,8 +10,8 @@
 from ..records import Record
 
 # All nodes must agree on these two: they say which stored record holds a key.
-RANGES = 64
-BUCKET_MS = 60_000
+RANGES = 16
+BUCKET_MS = 10_000
 
 MOST_SKEW_MS = 60_000
 KEY_FORM = re.compile(r"^(\d{13})\.([A-Za-z0-9_-]{8,100})$")
