Send a region's shards through a node there, in one message

Cause: every node called every server by itself; at the size two years out no server takes that many connections, and each call would cross the costly link.

Shards without a replica in this node's region go, grouped by region, to a node there, which asks directly and returns one outcome a shard with the best rows only. When no node there answers, the servers are asked directly; until it has said otherwise its servers may have acted. Shards that have a replica here are never forwarded, so what runs today does not change.

Cause: the property test asked only whether a server had run the query.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import fire
 
-from . import calls, claims, histories, real, scale, scenario
+from . import calls, capacity, claims, histories, real, scale, scenario
 
 
 class Bench:
@@ -20,6 +20,10 @@
         """Processor time of one replica call, beside the bare client library."""
         calls.run(_numbers(shards))
 
+    def capacity(self):
+        """Print what measured slopes give at the size two years out."""
+        capacity.run()
+
     def claims(self, rates=claims.RATES):
         """Store writes and added latency of orders, in virtual time."""
         claims.run(_numbers(rates))
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -15,6 +15,7 @@
 
 SIZES = (7, 60, 200, 800, 1600)
 CALM_S = 20
+CONFIRM_S = 10
 LOSS = 0.05
 SPREAD_LIMIT_S = 30
 COLUMNS = (
@@ -26,6 +27,8 @@
     "spread_p50_ms",
     "spread_p99_ms",
     "spread_max_ms",
+    "change_cpu_us",
+    "change_bytes",
     "store_reads",
     "watching",
 )
@@ -74,7 +77,12 @@
     calm_bytes = fleet.network.bytes_sent
     calm_messages = fleet.network.messages
     reads = fleet.shared.counts["reads"] - reads
+    change_bytes = fleet.network.bytes_sent
+    started_s = time.process_time()
     spread = await spread_times(fleet)
+    await fleet.clock.sleep(CONFIRM_S * 1000 - min(CONFIRM_S * 1000, spread[-1]))
+    change_cpu_s = time.process_time() - started_s - cpu_s * CONFIRM_S / CALM_S
+    change_bytes = fleet.network.bytes_sent - change_bytes - calm_bytes * CONFIRM_S / CALM_S
     memory_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
     watching = sum(len(queues) for queues in fleet.shared.watchers.values())
     await fleet.stop()
@@ -88,6 +96,8 @@
         "spread_p50_ms": spread[len(spread) // 2],
         "spread_p99_ms": spread[int(len(spread) * 0.99)],
         "spread_max_ms": spread[-1],
+        "change_cpu_us": change_cpu_s * 1e6 / nodes,
+        "change_bytes": change_bytes / nodes,
         "store_reads": reads / CALM_S,
         "watching": watching,
     }
--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -26,6 +26,7 @@
 from auburnhollow.routing import Ejection, ReplicaChoice
 from auburnhollow.scatter import Coordinator
 from auburnhollow.scatter.coordinator import Tier
+from auburnhollow.scatter.forward import Forwarder, RegionAsk
 from auburnhollow.snapshots import Snapshots
 
 from . import status
@@ -200,6 +201,9 @@
             clock=self.clock,
             ejection=ejection,
             events=self.events,
+            forwarder=Forwarder(
+                settings.data_centre, self.membership, self.peers, self.clock, seeded, self.metrics
+            ),
             gate=Gate(self.clock, self.events, seeded, settings.admission_limit),
             keeper=self.keeper,
             leaving=leaving,
@@ -255,6 +259,7 @@
         on(SyncAsk, self.spreader.on_sync_ask)
         on(Fetch, self.spreader.on_fetch)
         on(FetchConfiguration, self.configurations.on_fetch)
+        on(RegionAsk, self.coordinator.answer_region)
         on(ClaimAsk, self.orders.on_claim)
         on(SettleAsk, self.orders.on_settle)
         on(AttemptAsk, self.orders.on_attempt)
--- a/packages/auburnhollow/src/auburnhollow/routing/replicas.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/replicas.py
@@ -89,9 +89,9 @@
         if not free:
             return None
         good = self._ejection.usable(free, servers)
-        sampled = self._random.sample(good, min(SAMPLED, len(good)))
-        if len(sampled) == 1:
-            return sampled[0]
+        if len(good) == 1:
+            return good[0]
+        sampled = good if len(good) <= SAMPLED else self._random.sample(good, SAMPLED)
         return min(sampled, key=lambda server: self._blurred_cost(configuration, service, server))
 
     def open_to_work(self, configuration, servers, tried=()):
--- a/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
@@ -10,9 +10,10 @@
 from ..retry import spread_ms
 from ..routing.plan import find_by_labels, find_service, plan_request
 from .coverage import Coverage, Gap, Outcome, merge_rows
+from .forward import may_forward, pack_answer, unpack_search
+from .jobs import RegionJob, ShardJob
 from .messages import Answer
 from .policy import ServicePolicy
-from .shard import ShardQuery
 
 NOT_READY_RETRY_MS = 1_000.0
 UNAVAILABLE_RETRY_MS = 500.0
@@ -31,6 +32,7 @@
         "clock",
         "ejection",
         "events",
+        "forwarder",
         "gate",
         "keeper",
         "leaving",
@@ -150,24 +152,47 @@
             )
         return plan
 
-    async def _fan_out(self, search, plan, until_ms, fingerprint):
+    async def answer_region(self, message):
+        """Answer a :class:`RegionAsk` of a node in another region, by asking servers directly.
+
+        :raises QueryError: when this node can't; the other one then asks by itself.
+        """
+        search = unpack_search(message)
+        configuration = self._tier.configuration()
+        service = find_service(configuration, message.service, search.kind)
+        fingerprint = fingerprint_of(service.name, search.query)
+        self._tier.quarantine.check(fingerprint)
+        snapshot = self._tier.snapshots.exactly(service, message.version)
+        plan = plan_request(configuration, service, snapshot, {})
+        plan.shards = message.shards
+        until_ms = self._tier.clock.now_ms() + message.deadline_ms
+        with admitted(self._tier.gate, search.request_class):
+            result = await self._fan_out(search, plan, until_ms, fingerprint, forwards=False)
+        return pack_answer(search, result.outcomes, result.ran is not Ran.NO)
+
+    async def _fan_out(self, search, plan, until_ms, fingerprint, forwards=True):
         """Ask all shards; return the :class:`Result`."""
-        tasks = {}
-        queries = []
-        for shard in plan.shards:
-            query = ShardQuery(self._tier, search, plan, shard, until_ms, fingerprint)
-            queries.append(query)
-            tasks[asyncio.create_task(query.run())] = shard
+
+        def make_direct(shard):
+            return ShardJob(self._tier, search, plan, shard, until_ms, fingerprint)
+
+        groups, direct = [], plan.shards
+        if forwards and may_forward(search) and not self._tier.quarantine.is_suspect(fingerprint):
+            groups, direct = self._tier.forwarder.groups(self._tier.configuration(), plan)
+        jobs = [make_direct(shard) for shard in direct]
+        for group in groups:
+            jobs.append(RegionJob(self._tier, search, plan, group, until_ms, make_direct))
+        tasks = {asyncio.create_task(job.run()): job for job in jobs}
         try:
             outcomes = await self._gather(tasks, until_ms)
         except QueryError as error:
-            if any(query.ran is not Ran.NO for query in queries):
+            if any(job.ran is not Ran.NO for job in jobs):
                 error.ran = Ran.UNKNOWN
             raise
         finally:
             for task in tasks:
                 task.cancel()
-        in_doubt = any(query.ran is not Ran.NO for query in queries)
+        in_doubt = any(job.ran is not Ran.NO for job in jobs)
         return Result(plan=plan, outcomes=outcomes, ran=Ran.UNKNOWN if in_doubt else Ran.NO)
 
     async def _gather(self, tasks, until_ms):
@@ -180,9 +205,12 @@
                 raise task.exception()
         if late:
             self._tier.gate.went_badly()
-        outcomes = [task.result() for task in done]
+        outcomes = []
+        for task in done:
+            outcomes += task.result()
         for task in late:
-            outcomes.append(Outcome.missing(tasks[task], Gap.DEADLINE))
+            for shard in tasks[task].shards:
+                outcomes.append(Outcome.missing(shard, Gap.DEADLINE))
         return outcomes
 
     def _lacks_version(self, result):
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/scatter/jobs.py
@@ -0,0 +1,80 @@
+"""Parts of a fan-out: one shard asked directly, or a region's shards asked through a node there."""
+
+import asyncio
+import logging
+
+from ..exceptions import PeerError, Ran
+from .forward import unpack_outcomes
+from .shard import ShardQuery
+
+log = logging.getLogger("scatter")
+
+
+class ShardJob:
+    """One shard asked by this node."""
+
+    __slots__ = ("_query", "shards")
+
+    def __init__(self, tier, search, plan, shard, until_ms, fingerprint):
+        self.shards = [shard]
+        self._query = ShardQuery(tier, search, plan, shard, until_ms, fingerprint)
+
+    @property
+    def ran(self):
+        """Whether a server may have acted."""
+        return self._query.ran
+
+    async def run(self):
+        """Return a list with the shard's outcome."""
+        return [await self._query.run()]
+
+
+class RegionJob:
+    """Shards of another region; asked directly when no node there answers."""
+
+    __slots__ = ("_group", "_in_doubt", "_make_direct", "_search", "_tier", "_plan", "_until_ms")
+
+    def __init__(self, tier, search, plan, group, until_ms, make_direct):
+        self._tier = tier
+        self._search = search
+        self._plan = plan
+        self._group = group
+        self._until_ms = until_ms
+        self._make_direct = make_direct
+        self._in_doubt = False
+
+    @property
+    def shards(self):
+        """Names of the shards."""
+        return self._group.shards
+
+    @property
+    def ran(self):
+        """Whether a server may have acted."""
+        return Ran.UNKNOWN if self._in_doubt else Ran.NO
+
+    async def run(self):
+        """Return a list with one outcome for each shard."""
+        tier = self._tier
+        # Until the node there has said otherwise, its servers may have acted.
+        self._in_doubt = True
+        try:
+            answer = await tier.forwarder.ask(
+                tier.configuration(), self._search, self._plan, self._group, self._until_ms
+            )
+            outcomes = unpack_outcomes(self._group, answer)
+        except PeerError as error:
+            log.info("scatter: asks %s directly: %s", self._group.region, error)
+            return await self._ask_directly()
+        self._in_doubt = answer.in_doubt
+        return outcomes
+
+    async def _ask_directly(self):
+        jobs = [self._make_direct(shard) for shard in self.shards]
+        tasks = [asyncio.create_task(job.run()) for job in jobs]
+        try:
+            found = await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+        return [outcome for outcomes in found for outcome in outcomes]
--- a/packages/auburnhollow/src/auburnhollow/scatter/tests/test_coverage.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/tests/test_coverage.py
@@ -52,7 +52,7 @@
 
 def served_in_full(fleet, shard):
     servers = [server for name, server in fleet.servers.items() if name.startswith(f"{shard}-")]
-    return any(server.ran for server in servers)
+    return any(server.whole for server in servers)
 
 
 async def ask_under_faults(seed):
@@ -89,6 +89,20 @@
             assert shard not in with_rows
 
 
+def test_a_server_that_says_that_something_is_missing_leaves_a_gap():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            for replica in range(3):
+                fleet.servers[f"s2-{replica}"].always = "partial"
+            answer = await fleet.nodes["n0"].node.coordinator.search(search_of())
+        assert {shard: gap.gap for shard, gap in answer.coverage.gaps.items()} == {
+            "s2": Gap.PARTIAL
+        }
+        assert "s2" in {row["shard"] for row in answer.rows}
+
+    run_virtually(run())
+
+
 def test_every_shard_with_a_live_replica_answers():
     async def run():
         async with virtual_fleet(document_of(shards=10), nodes=1) as fleet:
--- a/packages/auburnhollow/src/auburnhollow/snapshots/chooser.py
+++ b/packages/auburnhollow/src/auburnhollow/snapshots/chooser.py
@@ -41,6 +41,15 @@
                 return _snapshot(service, number)
         return _snapshot(service, usable[0])
 
+    def exactly(self, service, number):
+        """Return the :class:`Snapshot` of one version.
+
+        :raises NotReady: when this node does not know the version.
+        """
+        if service.version(number) is None:
+            raise NotReady(f"version {number} of {service.name} is not known here")
+        return _snapshot(service, number)
+
     def lacking(self, service_name, number):
         """Note that no server of some shard holds version ``number``."""
         self._lacking[service_name, number] = self._clock.now_ms() + LACKING_MS
--- a/standins/src/auburnhollow_standins/fakes.py
+++ b/standins/src/auburnhollow_standins/fakes.py
@@ -278,6 +278,7 @@
 class FakeServer:
     """A backend server that does what its script says, then answers.
 
+    ``ran`` holds the calls that it ran, ``whole`` those of them that it answered in full.
     ``script`` is a queue of names of :data:`STEPS`; ``always`` is the step when it is empty.
     """
 
@@ -293,6 +294,7 @@
         "rows",
         "script",
         "versions",
+        "whole",
     )
 
     def __init__(self, server_id, rows=(), versions=(1,), latency_ms=2.0):
@@ -306,6 +308,7 @@
         self.is_dead = False
         self.crash_mark = None
         self.ran = []
+        self.whole = []
         self.orders = []
 
     def run(self, call):
@@ -323,6 +326,8 @@
                 outcome={"by": self.id, "order": call.order},
                 incarnation=self.incarnation,
             )
+        if not partial:
+            self.whole.append(call)
         return ShardAnswer(
             request_id=call.request_id,
             shard=call.shard,
