Say "not run" of an order only where the caller knows it, in every refusal

Refusals before the claim took what the caller knows for overload and quarantine only; a missing configuration, service or server said "no" by themselves, at the front too, where the deadline was looked up.

Ruled out: a second run (the key ran once), and the claim itself (never read).

Changed: one block around everything before the claim sets `ran`; the order's deadline is looked up inside it.

--- a/packages/auburnhollow-node/src/auburnhollow_node/front/bodies.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/front/bodies.py
@@ -136,7 +136,7 @@
     )
 
 
-def read_order(body, key, caller, policy):
+def read_order(body, key, caller):
     """Return the :class:`Order` that a checked body asks for."""
     return Order(
         caller=caller,
@@ -145,6 +145,6 @@
         selector=body.get("selector", {}),
         order=body["order"],
         request_class=body.get("class", URGENT),
-        deadline_ms=body.get("deadline_ms", policy.deadline_ms),
+        deadline_ms=body.get("deadline_ms"),
         earlier=body.get("earlier", "unknown"),
     )
--- a/packages/auburnhollow-node/src/auburnhollow_node/front/callers.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/front/callers.py
@@ -3,7 +3,7 @@
 import orjson
 
 from auburnhollow import __version__
-from auburnhollow.configuration.schema import CHECK, ORDER, SEARCH
+from auburnhollow.configuration.schema import CHECK, SEARCH
 from auburnhollow.exceptions import NotReady, QueryError
 from auburnhollow.metrics import timed
 from auburnhollow.routing.plan import find_by_labels, find_service
@@ -105,9 +105,8 @@
             body = await bodies.read_body(request, settings.max_body_bytes, settings.body_ms)
             request.context.request_id = body.get("request_id")
             bodies.check_body(bodies.ORDER, body)
-            service = find_service(node.tier.configuration(), body["service"], ORDER)
             key = request.get_header("Idempotency-Key")
-            order = bodies.read_order(body, key, caller_of(request), service.policy)
+            order = bodies.read_order(body, key, caller_of(request))
             result = await self._run(order)
         response.content_type = JSON
         response.data = orjson.dumps({"request_id": body.get("request_id"), **result.to_map()})
--- a/packages/auburnhollow/src/auburnhollow/once/orders.py
+++ b/packages/auburnhollow/src/auburnhollow/once/orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from contextlib import contextmanager
 
 import orjson
 
@@ -25,7 +26,6 @@
 )
 from ..hashing import first_ranked
 from ..identifiers import new_id
-from ..limits import admitted
 from ..quarantine import fingerprint_of
 from ..records import Record
 from ..retry import spread_ms
@@ -134,6 +134,7 @@
         """
         key = parse_key(order.caller, order.key)
         self._check_age(order, key)
+        self._set_deadline(order)
         wanted = body_hash(order)
         running = self._running.get(key.id)
         if running is None:
@@ -181,6 +182,13 @@
         if age_ms < -MOST_SKEW_MS:
             raise KeyExpired(f"the key is issued {-age_ms} ms ahead of now", request=order)
 
+    def _set_deadline(self, order):
+        if order.deadline_ms is not None:
+            return
+        with _nothing_sent(order):
+            service = find_service(self._tier.configuration(), order.service, ORDER)
+        order.deadline_ms = service.policy.deadline_ms
+
     def _ended(self, key, task):
         self._running.pop(key.id, None)
         if not task.cancelled() and task.exception() is not None:
@@ -200,23 +208,20 @@
             ) from None
 
     async def _admit(self, order, key, wanted):
+        with _nothing_sent(order):
+            self._tier.gate.enter(order.request_class)
         try:
-            with admitted(self._tier.gate, order.request_class):
-                return await self._claim_and_send(order, key, wanted)
-        except Overloaded as error:
-            error.ran = _ran_before(order)
-            raise
+            return await self._claim_and_send(order, key, wanted)
+        finally:
+            self._tier.gate.leave()
 
     async def _claim_and_send(self, order, key, wanted):
         tier = self._tier
         until_ms = tier.clock.now_ms() + order.deadline_ms
         fingerprint = fingerprint_of(order.service, order.order)
-        targets = self._targets(order, key)
-        try:
+        with _nothing_sent(order):
+            targets = self._targets(order, key)
             tier.quarantine.check(fingerprint)
-        except QueryError as error:
-            error.ran = _ran_before(order)
-            raise
         attempt = self._new_attempt()
         try:
             claim = await self._claim(order, key, wanted, attempt, until_ms)
@@ -237,7 +242,7 @@
         shard = first_ranked(key.id, plan.shards)
         servers = plan.replicas.get(shard, [])
         if not servers:
-            raise NoShardMatched(f"no backend server holds shard {shard}", _ran_before(order))
+            raise NoShardMatched(f"no backend server holds shard {shard}")
         return Targets(service=service, shard=shard, servers=servers)
 
     def _new_attempt(self):
@@ -465,6 +470,16 @@
     return Ran.NO if order.earlier in (NONE, NOT_RUN) else Ran.UNKNOWN
 
 
+@contextmanager
+def _nothing_sent(order):
+    """Let a refusal say of the key what the caller knows: this try has sent nothing yet."""
+    try:
+        yield
+    except QueryError as error:
+        error.ran = _ran_before(order)
+        raise
+
+
 def _reused(order):
     return KeyReused("the key was used for another order", Ran.NO, request=order)
 
--- a/packages/auburnhollow/src/auburnhollow/once/requests.py
+++ b/packages/auburnhollow/src/auburnhollow/once/requests.py
@@ -25,7 +25,8 @@
     """A request that may not be repeated.
 
     ``key`` holds the time of its issue; ``earlier`` is what the caller knows of its earlier tries
-    under the key: ``none`` were made, each was ``not-run``, or it is ``unknown``.
+    under the key: ``none`` were made, each was ``not-run``, or it is ``unknown``. Without a
+    ``deadline_ms`` the service's goes.
     """
 
     __slots__ = (
--- a/packages/auburnhollow/src/auburnhollow/once/tests/test_at_most_once.py
+++ b/packages/auburnhollow/src/auburnhollow/once/tests/test_at_most_once.py
@@ -10,10 +10,13 @@
     KeyExpired,
     KeyReused,
     OutcomeUnknown,
+    QueryError,
     Ran,
     Unavailable,
 )
 from auburnhollow.once import parse_key
+from auburnhollow.quarantine import fingerprint_of
+from auburnhollow.quarantine.blame import Death
 from auburnhollow_standins.histories import record_history
 from auburnhollow_standins.virtual import run_virtually
 from auburnhollow_standins.virtual_fleet import document_of, virtual_fleet
@@ -164,6 +167,59 @@
 EARLIER = [("none", Ran.NO), ("not-run", Ran.NO), ("unknown", Ran.UNKNOWN)]
 
 
+def lose_configuration(fleet):
+    keeper = fleet.nodes["n0"].node.keeper
+    keeper._configuration = None
+
+
+def lose_service(fleet):
+    fleet.nodes["n0"].node.keeper.configuration.services.clear()
+
+
+def lose_servers(fleet):
+    fleet.nodes["n0"].node.keeper.configuration._replicas["desk"] = {}
+
+
+def fill_gate(fleet):
+    gate = fleet.nodes["n0"].node.tier.gate
+    while gate.busy < gate.limit:
+        gate.enter("urgent")
+
+
+def quarantine_it(fleet):
+    quarantine = fleet.nodes["n0"].node.tier.quarantine
+    for server in ("a", "b"):
+        quarantine.take(
+            Death(
+                fingerprint=fingerprint_of("desk", {"any": 1}), server=server, shard="s", blame=1.0
+            )
+        )
+
+
+REFUSALS = [lose_configuration, lose_service, lose_servers, fill_gate, quarantine_it]
+
+
+@pytest.mark.parametrize("deadline_ms", [None, 1_000.0])
+@pytest.mark.parametrize("refuse", REFUSALS)
+@pytest.mark.parametrize(("earlier", "ran"), EARLIER)
+def test_a_refusal_before_the_claim_says_no_more_than_the_caller_knows(
+    earlier, ran, refuse, deadline_ms
+):
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            key = fleet.new_key()
+            body = {"any": 1}
+            await fleet.nodes["n0"].node.orders.run(fleet.order_of(key, order=body))
+            refuse(fleet)
+            again = fleet.order_of(key, order=body, earlier=earlier, deadline_ms=deadline_ms)
+            with pytest.raises(QueryError) as caught:
+                await fleet.nodes["n0"].node.orders.run(again)
+            assert caught.value.ran is ran
+        assert len(fleet.ran_orders()) == 1
+
+    run_virtually(run())
+
+
 @pytest.mark.parametrize(("earlier", "ran"), EARLIER)
 def test_with_the_store_down_claims_are_refused_at_once(earlier, ran):
     async def run():
