Move the admission limit by windows, not by requests

Cause: at twice the load of capacity the limit stood at 45 where about 12 fit. Each request that ended counted as good and grew the limit, about 46 a second, while cuts came ten times a second at most; and answers with gaps, which is what shedding servers make, counted as good too.

Changed: every 100 ms in which the gate was busy the limit is cut by a tenth if servers shed or a deadline passed, else grows by one; only full answers count.

The unit test of the limit now advances the clock while it grows, since growth goes by time; its bounds are the same, and one more test holds the idle case.

--- a/packages/auburnhollow/src/auburnhollow/limits/gate.py
+++ b/packages/auburnhollow/src/auburnhollow/limits/gate.py
@@ -9,12 +9,12 @@
 
 log = logging.getLogger("limits")
 
-LOWEST_LIMIT = 8
+LOWEST_LIMIT = 4
 HIGHEST_LIMIT = 4_000
 FIRST_LIMIT = 64
 GROWTH = 1.0
 CUT = 0.9
-CUT_PAUSE_MS = 100.0
+WINDOW_MS = 100.0
 BUSY_PART = 0.5
 RETRY_MS = 250.0
 REPORT_EVERY_MS = 1_000.0
@@ -23,10 +23,10 @@
 class Gate:
     """An adaptive limit on requests in progress, shed by class.
 
-    The limit grows by about one for each limit's worth of requests that end well while the gate
-    is busy, and is cut by a tenth when backend servers shed or a deadline passes (additive
-    increase, multiplicative decrease: D. Chiu, R. Jain, 1989). The three classes fill different
-    parts of it, so that reports are shed first and urgent requests last.
+    Every ``WINDOW_MS`` in which the gate was busy, the limit is cut by a tenth if backend servers
+    shed or a deadline passed, and grows by one if not (additive increase, multiplicative
+    decrease: D. Chiu, R. Jain, 1989). The three classes fill different parts of it, so that
+    reports are shed first and urgent requests last.
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param events: :class:`~auburnhollow.events.Recorder`.
@@ -36,13 +36,15 @@
     __slots__ = (
         "_busy",
         "_clock",
-        "_cut_ms",
         "_events",
+        "_is_bad",
+        "_is_busy",
         "_limit",
         "_random",
         "_reported_ms",
         "_shed",
         "_shed_before",
+        "_window_ms",
     )
 
     def __init__(self, clock, events, random, limit=FIRST_LIMIT):
@@ -53,8 +55,10 @@
         self._busy = 0
         self._shed = 0
         self._shed_before = 0
-        self._cut_ms = None
+        self._is_bad = False
+        self._is_busy = False
         self._reported_ms = None
+        self._window_ms = None
 
     @property
     def busy(self):
@@ -78,7 +82,9 @@
         """
         if self._busy < self._limit * FILL[request_class]:
             self._busy += 1
+            self._is_busy = self._is_busy or self._busy >= self._limit * BUSY_PART
             return
+        self._is_busy = True
         self._shed += 1
         self._report(request_class)
         raise Overloaded(
@@ -91,20 +97,28 @@
         self._busy -= 1
 
     def went_well(self):
-        """Count a request that was answered in time."""
-        if self._busy < self._limit * BUSY_PART:
-            return
-        self._limit = min(HIGHEST_LIMIT, self._limit + GROWTH / self._limit)
+        """Count a request that was answered in full and in time."""
+        self._turn()
 
     def went_badly(self):
         """Count a sign of overload."""
+        self._is_bad = True
+        self._turn()
+
+    def _turn(self):
+        """At the end of a window, move the limit by what the window has shown."""
         now_ms = self._clock.now_ms()
-        if self._cut_ms is not None and now_ms - self._cut_ms < CUT_PAUSE_MS:
-            return
-        if self._busy < self._limit * BUSY_PART:
+        if self._window_ms is None:
+            self._window_ms = now_ms
+        if now_ms - self._window_ms < WINDOW_MS:
             return
-        self._cut_ms = now_ms
-        self._limit = max(LOWEST_LIMIT, self._limit * CUT)
+        if self._is_busy and self._is_bad:
+            self._limit = max(LOWEST_LIMIT, self._limit * CUT)
+        elif self._is_busy:
+            self._limit = min(HIGHEST_LIMIT, self._limit + GROWTH)
+        self._window_ms = now_ms
+        self._is_bad = False
+        self._is_busy = False
 
     def _report(self, request_class):
         now_ms = self._clock.now_ms()
--- a/packages/auburnhollow/src/auburnhollow/limits/tests/test_limits.py
+++ b/packages/auburnhollow/src/auburnhollow/limits/tests/test_limits.py
@@ -48,17 +48,30 @@
 
 def test_the_limit_falls_under_overload_and_grows_back():
     clock, gate = new_gate(100)
-    fill(gate, URGENT)
     for _ in range(30):
+        fill(gate, URGENT)
         gate.went_badly()
         clock.advance(200)
     low = gate.limit
     assert low < 60
-    for _ in range(20_000):
+    for _ in range(20):
+        fill(gate, URGENT)
         gate.went_well()
+        clock.advance(200)
     assert gate.limit > low
 
 
+def test_the_limit_stays_where_the_gate_is_not_busy():
+    clock, gate = new_gate(100)
+    for report in (gate.went_well, gate.went_badly):
+        for _ in range(30):
+            gate.enter(URGENT)
+            gate.leave()
+            report()
+            clock.advance(200)
+    assert gate.limit == 100
+
+
 def test_retry_times_are_spread():
     _, gate = new_gate(8)
     fill(gate, URGENT)
--- a/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
@@ -117,7 +117,8 @@
         tier = self._tier
         with admitted(tier.gate, search.request_class):
             answer = await self._answer(search)
-            tier.gate.went_well()
+            if answer.coverage.is_complete:
+                tier.gate.went_well()
             return answer
 
     async def _answer(self, search):
