Ask another replica when one has shed, within the retry budget

Cause: at 70 % of capacity 6 % of urgent requests had gaps. The near replica's queue was full while two others had room: after a shed call nothing was asked again for a second, service-wide, and the choice did not know the queue was full.

Changed: a shed call is followed by another replica at the cost of one retry (10 % of calls at most), and marks its server as full for a second. Hedges stay off under overload.

--- a/bench/strategies.py
+++ b/bench/strategies.py
@@ -19,6 +19,9 @@
     def observe_at_least(self, configuration, server, latency_ms):
         """Learn nothing."""
 
+    def observe_full(self, configuration, service, server):
+        """Learn nothing."""
+
     def typical_ms(self, configuration, server):
         """Return any figure: baselines do not hedge."""
         return 1.0
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -97,5 +97,6 @@
         tier.leaving.sign(server.id, refusal.incarnation, source="refusal")
         return
     if refusal.reason == "overload":
+        tier.replicas.observe_full(tier.configuration(), service, server)
         tier.gate.went_badly()
         tier.policy(service).overloaded()
--- a/packages/auburnhollow/src/auburnhollow/routing/replicas.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/replicas.py
@@ -14,6 +14,7 @@
 LOAD_FRESH_MS = 1_000.0
 WARM_UP_MS = 5_000.0
 COLD_WEIGHT = 4.0
+FULL_QUEUE = 4
 ACROSS_CENTRES_MS = 7.0
 ACROSS_REGIONS_MS = 24.0
 UNKNOWN = 0
@@ -138,6 +139,16 @@
         measured.latency_ms = known_ms + LATE_SMOOTHING * max(0.0, latency_ms - known_ms)
         measured.seen_ms = now_ms
 
+    def observe_full(self, configuration, service, server):
+        """Take that the server has just shed a call: its queue is full."""
+        now_ms = self._clock.now_ms()
+        measured = self._measured.get(server.id)
+        if measured is None:
+            measured = _first_measure(self._first_ms(configuration, server), now_ms)
+            self._measured[server.id] = measured
+        measured.load = max(measured.load, service.slots * FULL_QUEUE)
+        measured.load_ms = now_ms
+
     def typical_ms(self, configuration, server):
         """Return the usual latency of a call to the server, in milliseconds."""
         measured = self._measured.get(server.id)
--- a/packages/auburnhollow/src/auburnhollow/scatter/policy.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/policy.py
@@ -81,6 +81,10 @@
         """Spend one retry, if one is left."""
         return not self._is_overloaded() and self._retries.try_spend()
 
+    def may_retry_elsewhere(self):
+        """Spend one retry on another replica after one has shed, if one is left."""
+        return self._retries.try_spend()
+
     def _is_overloaded(self):
         if self._overload_ms is None:
             return False
--- a/packages/auburnhollow/src/auburnhollow/scatter/shard.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/shard.py
@@ -200,6 +200,9 @@
             return True
         if isinstance(error, BackendRefused) and error.reason != "overload":
             return True
+        if isinstance(error, BackendRefused):
+            # One full queue does not mean that the other replicas' queues are.
+            return self._tier.policy(self._plan.service).may_retry_elsewhere()
         if isinstance(error, BackendDied):
             # A dead server is a lost replica: the next one must be asked for the coverage.
             return True
--- a/packages/auburnhollow/src/auburnhollow/scatter/tests/test_coverage.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/tests/test_coverage.py
@@ -118,6 +118,17 @@
     run_virtually(run())
 
 
+def test_a_shard_with_one_full_replica_is_answered_by_another():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            for shard in range(4):
+                fleet.servers[f"s{shard}-0"].always = "overload"
+            answer = await fleet.nodes["n0"].node.coordinator.search(search_of())
+        assert answer.coverage.is_complete
+
+    run_virtually(run())
+
+
 def test_a_selector_that_matches_nothing_is_an_error_not_an_empty_answer():
     async def run():
         async with virtual_fleet(nodes=1) as fleet:
