Split the orders by job, and read files and errors in one place

Cause, from reading as a newcomer: one module of 508 lines claimed, sent, asked peers and kept outcomes; JSON files were read by two copies of one function; the caller's session listed every error by hand.

Changed: `attempts` (this node's tries), `claimer` (claims through the owner or directly), `refusals` (what may be said of a key) and `orders` (the way of one order, 272 lines). `read_json` serves settings and configurations.

--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -19,7 +19,15 @@
 from auburnhollow.membership import ALIVE, Member, Membership
 from auburnhollow.membership.messages import Ping, PingRequest
 from auburnhollow.metrics import Metrics
-from auburnhollow.once import AttemptAsk, ClaimAsk, Ledger, Orders, SettleAsk
+from auburnhollow.once import (
+    AttemptAsk,
+    Attempts,
+    ClaimAsk,
+    Claimer,
+    Ledger,
+    Orders,
+    SettleAsk,
+)
 from auburnhollow.peers import PeerServer
 from auburnhollow.quarantine import Quarantine
 from auburnhollow.quarantine.spread import DeathSpread
@@ -53,6 +61,8 @@
 
     __slots__ = (
         "_tasks",
+        "attempts",
+        "claimer",
         "clock",
         "configurations",
         "coordinator",
@@ -60,7 +70,6 @@
         "instances",
         "is_stopping",
         "keeper",
-        "ledger",
         "membership",
         "metrics",
         "orders",
@@ -217,15 +226,10 @@
             snapshots=Snapshots(self.clock),
         )
         self.coordinator = Coordinator(self.tier)
-        self.ledger = Ledger(self.store, self.clock, self.metrics)
-        self.orders = Orders(
-            self.tier,
-            self.ledger,
-            self.peers,
-            self.membership,
-            self.started_ms,
-            settings.claim_window_ms,
-        )
+        ledger = Ledger(self.store, self.clock, self.metrics)
+        self.attempts = Attempts(settings.id, self.started_ms, self.clock)
+        self.claimer = Claimer(self.tier, ledger, self.peers, self.membership, self.attempts)
+        self.orders = Orders(self.tier, self.claimer, self.attempts, settings.claim_window_ms)
 
     def _wire_spreads(self, seeded):
         self.configurations = ConfigurationSpread(
@@ -260,9 +264,9 @@
         on(Fetch, self.spreader.on_fetch)
         on(FetchConfiguration, self.configurations.on_fetch)
         on(RegionAsk, self.coordinator.answer_region)
-        on(ClaimAsk, self.orders.on_claim)
-        on(SettleAsk, self.orders.on_settle)
-        on(AttemptAsk, self.orders.on_attempt)
+        on(ClaimAsk, self.claimer.on_claim)
+        on(SettleAsk, self.claimer.on_settle)
+        on(AttemptAsk, self.attempts.answer)
 
     def _ranks_first_for(self, fingerprint):
         return first_ranked(fingerprint, self.membership.present()) == self.settings.id
--- a/packages/auburnhollow-node/src/auburnhollow_node/settings.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/settings.py
@@ -1,9 +1,7 @@
 """A node's settings."""
 
-import orjson
-
-from auburnhollow.documents import check_schema
-from auburnhollow.exceptions import Finding, SettingsError
+from auburnhollow.documents import check_schema, read_json
+from auburnhollow.exceptions import SettingsError
 from auburnhollow.records import Record
 
 _NAME = {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"}
@@ -69,14 +67,7 @@
 
     :raises SettingsError: with all findings together.
     """
-    try:
-        with open(path, "rb") as file:
-            document = orjson.loads(file.read())
-    except OSError as error:
-        raise SettingsError([Finding(str(path), error.strerror)]) from error
-    except orjson.JSONDecodeError as error:
-        place = f"{path}:{error.lineno}:{error.colno}"
-        raise SettingsError([Finding(place, f"not JSON: {error.msg}")]) from error
+    document = read_json(path, SettingsError)
     findings = check_settings(document)
     if findings:
         raise SettingsError(findings)
--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -18,6 +18,7 @@
     differences,
     new_change_id,
 )
+from auburnhollow.documents import read_json
 from auburnhollow.exceptions import (
     AuburnhollowError,
     ConfigurationError,
@@ -28,7 +29,6 @@
 from auburnhollow.platform import HttpStore
 
 from . import pictures, texts
-from .documents import read_document
 from .fleet import FleetView
 
 WRITE_TRIES = 20
@@ -72,7 +72,7 @@
 
     def check(self, file):
         """Check a configuration file; print all findings."""
-        findings = check_document(read_document(file))
+        findings = check_document(read_json(file, ConfigurationError))
         if findings:
             raise ConfigurationError(findings)
         self._print({"valid": True, "file": str(file)}, f"{file} is valid")
@@ -85,7 +85,7 @@
         :param wait_s: how long to wait for the nodes, in seconds.
         :param yes: do not ask before writing.
         """
-        document = read_document(file)
+        document = read_json(file, ConfigurationError)
         asyncio.run(self._apply(lambda _current: document, note, base, author, wait_s, yes))
 
     def revert_to(self, revision, note="", author=None, wait_s=DEFAULT_WAIT_S, yes=False):
--- a/packages/auburnhollow/src/auburnhollow/documents.py
+++ b/packages/auburnhollow/src/auburnhollow/documents.py
@@ -3,10 +3,30 @@
 import difflib
 
 import jsonschema
+import orjson
 
 from .exceptions import Finding
 
 
+def read_json(path, error_type):
+    """Return the JSON object in a file.
+
+    :param error_type: the :class:`~auburnhollow.exceptions.FindingsError` to raise.
+    :raises FindingsError: when the file can't be read or holds no JSON object.
+    """
+    try:
+        with open(path, "rb") as file:
+            document = orjson.loads(file.read())
+    except OSError as error:
+        raise error_type([Finding(str(path), error.strerror)]) from error
+    except orjson.JSONDecodeError as error:
+        place = f"{path}:{error.lineno}:{error.colno}"
+        raise error_type([Finding(place, f"not JSON: {error.msg}")]) from error
+    if not isinstance(document, dict):
+        raise error_type([Finding(str(path), "not a JSON object")])
+    return document
+
+
 def check_schema(schema, document):
     """Return a list of :class:`Finding` for each place where ``document`` breaks ``schema``.
 
--- a/packages/auburnhollow/src/auburnhollow/once/__init__.py
+++ b/packages/auburnhollow/src/auburnhollow/once/__init__.py
@@ -1,5 +1,7 @@
 """Requests that may not be repeated: each key runs at most once."""
 
+from .attempts import Attempts
+from .claimer import Claimer
 from .ledger import Ledger
 from .messages import AttemptAnswer, AttemptAsk, ClaimAnswer, ClaimAsk, SettleAsk
 from .orders import Orders
@@ -8,8 +10,10 @@
 __all__ = [
     "AttemptAnswer",
     "AttemptAsk",
+    "Attempts",
     "ClaimAnswer",
     "ClaimAsk",
+    "Claimer",
     "Ledger",
     "Order",
     "OrderResult",
--- a/packages/auburnhollow/src/auburnhollow/once/orders.py
+++ b/packages/auburnhollow/src/auburnhollow/once/orders.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from contextlib import contextmanager
 
 import orjson
 
@@ -14,14 +13,10 @@
     BackendRejected,
     DeadlinePassed,
     KeyExpired,
-    KeyReused,
     NoShardMatched,
     OutcomeUnknown,
-    Overloaded,
-    PeerError,
     QueryError,
     Ran,
-    StoreError,
     Unavailable,
 )
 from ..hashing import first_ranked
@@ -31,55 +26,17 @@
 from ..retry import spread_ms
 from ..routing.calls import finish_call, next_server
 from ..routing.plan import find_service, plan_request
-from .claims import CLAIMED, DONE, FAULT, UNKNOWN, VOID, Claim, attempt_of, node_of
-from .messages import AttemptAnswer, AttemptAsk, ClaimAnswer, ClaimAsk, SettleAsk
-from .requests import MOST_SKEW_MS, NONE, NOT_RUN, OrderResult, body_hash, parse_key
+from .claims import DONE, FAULT, UNKNOWN, VOID
+from .messages import SettleAsk
+from .refusals import nothing_sent, reused
+from .requests import MOST_SKEW_MS, OrderResult, body_hash, parse_key
 
 log = logging.getLogger("once")
 
-OWNER_TIMEOUT_MS = 1_500.0
-ATTEMPT_TIMEOUT_MS = 300.0
-LAST_MS = 100.0
-STORE_RETRY_MS = 2_000.0
-LOOK_AGAIN_MS = 5_000.0
 UNAVAILABLE_RETRY_MS = 500.0
 PAUSE_MS = 5.0
-SETTLE_TRIES = 6
-SETTLE_PAUSE_MS = 500.0
-CLAIM_TRIES = 4
-KEPT_ATTEMPTS = 20_000
 LARGEST_OUTCOME = 16_384
 
-ABANDONED = "abandoned"
-RUNNING = "running"
-ENDED = "ended"
-NEVER_HEARD = "unknown"
-
-
-class Attempt:
-    """One try of this node to run an order. It may send only while it is not given up."""
-
-    __slots__ = ("claim_state", "ended", "name", "outcome", "state")
-
-    def __init__(self, name):
-        self.name = name
-        self.state = RUNNING
-        self.claim_state = None
-        self.outcome = None
-        self.ended = asyncio.Event()
-
-    def abandon(self):
-        """Promise that this attempt is never sent."""
-        self.state = ABANDONED
-        self.ended.set()
-
-    def end(self, claim_state, outcome):
-        """Keep what came of sending."""
-        self.state = ENDED
-        self.claim_state = claim_state
-        self.outcome = outcome
-        self.ended.set()
-
 
 class Running(Record):
     """An order in progress at this node."""
@@ -91,10 +48,8 @@
     """Runs orders, each key at most once over all nodes.
 
     :param tier: :class:`~auburnhollow.scatter.coordinator.Tier`.
-    :param ledger: :class:`~auburnhollow.once.Ledger` of this node.
-    :param peers: :class:`~auburnhollow.peers.Peers`.
-    :param membership: :class:`~auburnhollow.membership.Membership`.
-    :param start: a number that no earlier start of this node had.
+    :param claimer: :class:`~auburnhollow.once.Claimer`.
+    :param attempts: :class:`~auburnhollow.once.Attempts` of this node.
     :param window_ms: how old a key may be, in milliseconds.
 
     >>> result = await orders.run(order)
@@ -102,28 +57,18 @@
 
     __slots__ = (
         "_attempts",
-        "_ledger",
-        "_membership",
-        "_owners",
-        "_peers",
-        "_ranked_nodes",
+        "_claimer",
         "_running",
         "_settling",
-        "_start",
         "_tier",
         "_window_ms",
     )
 
-    def __init__(self, tier, ledger, peers, membership, start, window_ms):
+    def __init__(self, tier, claimer, attempts, window_ms):
         self._tier = tier
-        self._ledger = ledger
-        self._peers = peers
-        self._membership = membership
-        self._start = start
+        self._claimer = claimer
+        self._attempts = attempts
         self._window_ms = window_ms
-        self._attempts = {}
-        self._owners = {}
-        self._ranked_nodes = None
         self._running = {}
         self._settling = set()
 
@@ -143,7 +88,7 @@
             self._running[key.id] = running
             task.add_done_callback(lambda task: self._ended(key, task))
         elif running.body_hash != wanted:
-            raise _reused(order)
+            raise reused(order)
         return await self._wait(order, running)
 
     async def flush(self):
@@ -152,26 +97,6 @@
             waiting = [running.task for running in self._running.values()]
             await asyncio.gather(*self._settling, *waiting, return_exceptions=True)
 
-    async def on_claim(self, message):
-        """Answer a :class:`ClaimAsk` of a peer."""
-        claim = await self._ledger.claim(message)
-        return ClaimAnswer(claim=claim.to_list())
-
-    async def on_settle(self, message):
-        """Answer a :class:`SettleAsk` of a peer."""
-        claim = await self._ledger.settle(message)
-        return ClaimAnswer(claim=None if claim is None else claim.to_list())
-
-    async def on_attempt(self, message):
-        """Answer an :class:`AttemptAsk` of a peer."""
-        attempt = self._attempts.get(message.attempt)
-        if attempt is None:
-            return AttemptAnswer(state=NEVER_HEARD, claim_state=None, outcome=None)
-        await _wait_for(self._tier.clock, attempt.ended, message.wait_ms)
-        return AttemptAnswer(
-            state=attempt.state, claim_state=attempt.claim_state, outcome=attempt.outcome
-        )
-
     def _check_age(self, order, key):
         age_ms = self._tier.clock.wall_ms() - key.issued_ms
         if age_ms > self._window_ms:
@@ -185,7 +110,7 @@
     def _set_deadline(self, order):
         if order.deadline_ms is not None:
             return
-        with _nothing_sent(order):
+        with nothing_sent(order):
             service = find_service(self._tier.configuration(), order.service, ORDER)
         order.deadline_ms = service.policy.deadline_ms
 
@@ -208,7 +133,7 @@
             ) from None
 
     async def _admit(self, order, key, wanted):
-        with _nothing_sent(order):
+        with nothing_sent(order):
             self._tier.gate.enter(order.request_class)
         try:
             return await self._claim_and_send(order, key, wanted)
@@ -219,12 +144,12 @@
         tier = self._tier
         until_ms = tier.clock.now_ms() + order.deadline_ms
         fingerprint = fingerprint_of(order.service, order.order)
-        with _nothing_sent(order):
+        with nothing_sent(order):
             targets = self._targets(order, key)
             tier.quarantine.check(fingerprint)
-        attempt = self._new_attempt()
+        attempt = self._attempts.new()
         try:
-            claim = await self._claim(order, key, wanted, attempt, until_ms)
+            claim = await self._claimer.claim(order, key, wanted, attempt, until_ms)
         except BaseException:
             attempt.abandon()
             raise
@@ -245,127 +170,10 @@
             raise NoShardMatched(f"no backend server holds shard {shard}")
         return Targets(service=service, shard=shard, servers=servers)
 
-    def _new_attempt(self):
-        name = attempt_of(self._membership.me.id, self._start, new_id())
-        attempt = Attempt(name)
-        self._attempts[name] = attempt
-        while len(self._attempts) > KEPT_ATTEMPTS:
-            oldest = next(iter(self._attempts))
-            if self._attempts[oldest].state == RUNNING:
-                break
-            del self._attempts[oldest]
-        return attempt
-
-    async def _claim(self, order, key, wanted, attempt, until_ms):
-        """Return the claim that stands for the key: this attempt's, or one that has ended.
-
-        :raises OutcomeUnknown: when another attempt holds the key and its end is not known.
-        """
-        instead_of = None
-        for _ in range(CLAIM_TRIES):
-            ask = ClaimAsk(
-                record_key=key.record_key,
-                key=key.id,
-                attempt=attempt.name,
-                body_hash=wanted,
-                instead_of=instead_of,
-            )
-            claim = await self._ask_owner(order, key, ask, until_ms)
-            if claim.attempt == attempt.name or claim.state not in (CLAIMED, VOID):
-                return claim
-            if claim.body_hash != wanted:
-                raise _reused(order)
-            ended = await self._follow(order, key, claim, until_ms)
-            if ended is not None:
-                return ended
-            instead_of = claim.attempt
-        raise OutcomeUnknown(
-            "other nodes go on claiming the key", retry_after_ms=LOOK_AGAIN_MS, request=order
-        )
-
-    async def _ask_owner(self, order, key, ask, until_ms):
-        """Claim through the node that writes this range now, or else directly."""
-        owner = self._owner(key)
-        try:
-            if owner != self._membership.me.id:
-                address = self._membership.members[owner].address
-                remaining_ms = until_ms - self._tier.clock.now_ms()
-                timeout_ms = max(1.0, min(OWNER_TIMEOUT_MS, remaining_ms / 2))
-                try:
-                    answer = await self._peers.ask(address, ask, timeout_ms)
-                    return Claim.from_list(answer.claim)
-                except PeerError as error:
-                    self._tier.metrics.incr("once.direct")
-                    log.info("once: %s does not claim, claiming directly: %s", owner, error)
-            return await self._ledger.claim(ask)
-        except StoreError as error:
-            raise Unavailable(
-                f"the claim can't be kept: {error}",
-                _ran_before(order),
-                retry_after_ms=spread_ms(self._tier.random, STORE_RETRY_MS),
-                request=order,
-            ) from error
-
-    def _owner(self, key):
-        """Return the node that writes the claims of a key's range; only load rests on it."""
-        nodes = self._membership.answering()
-        if nodes is not self._ranked_nodes:
-            self._ranked_nodes = nodes
-            self._owners = {}
-        owner = self._owners.get(key.range)
-        if owner is None:
-            owner = first_ranked(f"once/{key.range}", nodes)
-            self._owners[key.range] = owner
-        return owner
-
-    async def _follow(self, order, key, claim, until_ms):
-        """Learn what became of another attempt that holds the key.
-
-        :returns: the ended claim, or ``None`` when the attempt was given up for good.
-        """
-        node, _ = node_of(claim.attempt)
-        if claim.state == VOID:
-            return None
-        try:
-            answer = await self._ask_node(node, key, claim, wait_ms=0.0)
-            if answer.state == RUNNING:
-                # The node is there: its answer is worth waiting for.
-                wait_ms = until_ms - self._tier.clock.now_ms() - LAST_MS
-                answer = await self._ask_node(node, key, claim, max(0.0, wait_ms))
-        except PeerError as error:
-            raise OutcomeUnknown(
-                f"the key is held by a node that does not answer: {error}",
-                retry_after_ms=LOOK_AGAIN_MS,
-                request=order,
-            ) from error
-        if answer.state == ABANDONED:
-            return None
-        if answer.state == ENDED:
-            return Claim(
-                attempt=claim.attempt,
-                body_hash=claim.body_hash,
-                state=answer.claim_state,
-                outcome=answer.outcome,
-            )
-        if answer.state == RUNNING:
-            raise OutcomeUnknown(
-                "the order is still in progress", retry_after_ms=LOOK_AGAIN_MS, request=order
-            )
-        raise OutcomeUnknown("the node that held the key has started anew", request=order)
-
-    async def _ask_node(self, node, key, claim, wait_ms):
-        ask = AttemptAsk(key=key.id, attempt=claim.attempt, wait_ms=wait_ms)
-        if node == self._membership.me.id:
-            return await self.on_attempt(ask)
-        member = self._membership.members.get(node)
-        if member is None:
-            raise PeerError(f"{node} is not known")
-        return await self._peers.ask(member.address, ask, wait_ms + ATTEMPT_TIMEOUT_MS)
-
     def _replay(self, order, claim, wanted):
         """Answer with what an earlier attempt came to."""
         if claim.body_hash != wanted:
-            raise _reused(order)
+            raise reused(order)
         self._tier.metrics.incr("once.replayed")
         return _result(order, claim.state, claim.outcome, replayed=True)
 
@@ -437,27 +245,10 @@
             state=state,
             outcome=outcome,
         )
-        task = asyncio.create_task(self._keep(key, ask))
+        task = asyncio.create_task(self._claimer.keep(key, ask))
         self._settling.add(task)
         task.add_done_callback(self._settling.discard)
 
-    async def _keep(self, key, ask):
-        """Write the end of an attempt; while that fails, peers still learn it by asking here."""
-        pause_ms = SETTLE_PAUSE_MS
-        for _ in range(SETTLE_TRIES):
-            owner = self._owner(key)
-            try:
-                if owner == self._membership.me.id:
-                    await self._ledger.settle(ask)
-                else:
-                    address = self._membership.members[owner].address
-                    await self._peers.ask(address, ask, OWNER_TIMEOUT_MS)
-                return
-            except (StoreError, PeerError, Overloaded) as error:
-                log.info("once: the end of %s is not kept yet: %s", ask.attempt, error)
-            await self._tier.clock.sleep(pause_ms)
-            pause_ms *= 2
-
 
 class Targets(Record):
     """Where an order may run."""
@@ -465,25 +256,6 @@
     __slots__ = ("service", "shard", "servers")
 
 
-def _ran_before(order):
-    """Return what is true of the key while this try has sent nothing."""
-    return Ran.NO if order.earlier in (NONE, NOT_RUN) else Ran.UNKNOWN
-
-
-@contextmanager
-def _nothing_sent(order):
-    """Let a refusal say of the key what the caller knows: this try has sent nothing yet."""
-    try:
-        yield
-    except QueryError as error:
-        error.ran = _ran_before(order)
-        raise
-
-
-def _reused(order):
-    return KeyReused("the key was used for another order", Ran.NO, request=order)
-
-
 def _result(order, state, outcome, replayed):
     if state == DONE:
         if outcome is None:
@@ -498,11 +270,3 @@
     if state == FAULT:
         raise BackendRejected(f"a backend server failed the order: {text}", request=order)
     raise OutcomeUnknown(f"the order may have run: {text}", request=order)
-
-
-async def _wait_for(clock, event, wait_ms):
-    try:
-        async with clock.timeout(wait_ms):
-            await event.wait()
-    except TimeoutError:
-        return
--- a/packages/auburnhollow/src/auburnhollow/once/tests/test_at_most_once.py
+++ b/packages/auburnhollow/src/auburnhollow/once/tests/test_at_most_once.py
@@ -10,11 +10,12 @@
     KeyExpired,
     KeyReused,
     OutcomeUnknown,
+    Overloaded,
     QueryError,
     Ran,
     Unavailable,
 )
-from auburnhollow.once import parse_key
+from auburnhollow.once import ledger, parse_key
 from auburnhollow.quarantine import fingerprint_of
 from auburnhollow.quarantine.blame import Death
 from auburnhollow_standins.histories import record_history
@@ -237,6 +238,20 @@
     run_virtually(run())
 
 
+@pytest.mark.parametrize(("earlier", "ran"), EARLIER)
+def test_a_full_record_refuses_without_a_promise(earlier, ran, monkeypatch):
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            monkeypatch.setattr(ledger, "LARGEST_RECORD", 10)
+            with pytest.raises(Overloaded) as caught:
+                order = fleet.order_of(fleet.new_key(), earlier=earlier)
+                await fleet.nodes["n0"].node.orders.run(order)
+            assert caught.value.ran is ran
+        assert fleet.ran_orders() == []
+
+    run_virtually(run())
+
+
 def test_one_key_with_another_body_is_refused_on_every_node():
     async def run():
         async with virtual_fleet(nodes=2) as fleet:
--- a/packages/auburnhollow/src/auburnhollow/sessions.py
+++ b/packages/auburnhollow/src/auburnhollow/sessions.py
@@ -10,19 +10,13 @@
 import orjson
 
 from .exceptions import (
-    BackendRejected,
     BadRequest,
-    DeadlinePassed,
     KeyExpired,
     KeyReused,
     NoShardMatched,
-    NotReady,
     OutcomeUnknown,
-    Overloaded,
-    Quarantined,
     QueryError,
     Ran,
-    Unavailable,
     UnknownService,
 )
 
@@ -30,23 +24,7 @@
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 
-KNOWN_ERRORS = {
-    error.code: error
-    for error in (
-        BackendRejected,
-        BadRequest,
-        DeadlinePassed,
-        KeyExpired,
-        KeyReused,
-        NoShardMatched,
-        NotReady,
-        OutcomeUnknown,
-        Overloaded,
-        Quarantined,
-        Unavailable,
-        UnknownService,
-    )
-}
+KNOWN_ERRORS = {kind.code: kind for kind in QueryError.__subclasses__()}
 PATIENCE_MS = 30_000.0
 FIRST_PAUSE_MS = 100.0
 LONGEST_PAUSE_MS = 5_000.0
