Hedge by what calls take beyond their server's usual latency

Cause, by traces at 330 shards: with the near replica known to be slow, a far one (9 ms) was hedged after 15 ms, since the quantile was a factor over the usual latency and the factor came mostly from near servers. What varies is the work, not the distance.

Changed: the hedge delay is the usual latency plus a quantile of the excess.

--- a/packages/auburnhollow-node/src/auburnhollow_node/status.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/status.py
@@ -53,7 +53,7 @@
     return {
         "hedges": policy.hedges,
         "retries": policy.retries,
-        "hedge_factor": round(policy.hedge_factor, 2),
+        "hedge_beyond_ms": policy.hedge_beyond_ms,
     }
 
 
--- a/packages/auburnhollow/src/auburnhollow/retry/hedging.py
+++ b/packages/auburnhollow/src/auburnhollow/retry/hedging.py
@@ -2,10 +2,10 @@
 
 from hdrh.histogram import HdrHistogram
 
-LOWEST = 1
-HIGHEST = 10_000_000
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
 DIGITS = 2
-SCALE = 1_000.0
+US_PER_MS = 1_000.0
 WINDOW_MS = 10_000
 ENOUGH_SAMPLES = 50
 FIRST_FACTOR = 3.0
@@ -13,11 +13,12 @@
 
 
 class HedgeDelay:
-    """How many times its usual latency a call may take before a second one is sent.
+    """How long a call may take before a second one is sent.
 
-    That is a quantile of recent latencies, each over the usual latency of its server, so that one
-    figure goes for near and far servers. The present and the last window count. The quantile is
-    worked out afresh at most every ``REFRESH_MS``.
+    That is the usual latency of its server and a quantile of what recent calls took beyond the
+    usual latency of theirs: what varies is the work, not the distance, so one figure goes for near
+    and far servers. The present and the last window count. The quantile is worked out afresh at
+    most every ``REFRESH_MS``.
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param quantile: 0 to 1.
@@ -28,40 +29,43 @@
     6.0
     """
 
-    __slots__ = ("_clock", "_current", "_factor", "_last", "_percentile", "_read_ms", "_turn_ms")
+    __slots__ = ("_beyond_ms", "_clock", "_current", "_last", "_percentile", "_read_ms", "_turn_ms")
 
     def __init__(self, clock, quantile):
         self._clock = clock
         self._percentile = quantile * 100.0
-        self._current = HdrHistogram(LOWEST, HIGHEST, DIGITS)
-        self._last = HdrHistogram(LOWEST, HIGHEST, DIGITS)
+        self._current = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self._last = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
         self._turn_ms = None
         self._read_ms = None
-        self._factor = FIRST_FACTOR
+        self._beyond_ms = None
 
     @property
-    def factor(self):
-        """How many times its usual latency a call may take."""
+    def beyond_ms(self):
+        """What a call may take beyond its server's usual latency; ``None`` before it is known."""
         now_ms = self._clock.now_ms()
         if self._read_ms is not None and now_ms - self._read_ms < REFRESH_MS:
-            return self._factor
+            return self._beyond_ms
         self._read_ms = now_ms
         source = self._current
         if source.get_total_count() < ENOUGH_SAMPLES:
             source = self._last
         if source.get_total_count() >= ENOUGH_SAMPLES:
-            self._factor = source.get_value_at_percentile(self._percentile) / SCALE
-        return self._factor
+            self._beyond_ms = source.get_value_at_percentile(self._percentile) / US_PER_MS
+        return self._beyond_ms
 
     def observe(self, latency_ms, typical_ms):
         """Count one latency beside the usual one of its server."""
         self._turn()
-        factor = latency_ms / max(typical_ms, 1e-6)
-        self._current.record_value(min(HIGHEST, max(LOWEST, int(factor * SCALE))))
+        beyond_us = int((latency_ms - typical_ms) * US_PER_MS)
+        self._current.record_value(min(HIGHEST_US, max(LOWEST_US, beyond_us)))
 
     def current_ms(self, typical_ms):
         """Return the delay after which to hedge a call to a server."""
-        return self.factor * typical_ms
+        beyond_ms = self.beyond_ms
+        if beyond_ms is None:
+            return FIRST_FACTOR * typical_ms
+        return typical_ms + beyond_ms
 
     def _turn(self):
         now_ms = self._clock.now_ms()
--- a/packages/auburnhollow/src/auburnhollow/scatter/policy.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/policy.py
@@ -60,9 +60,9 @@
         self._overload_ms = self._clock.now_ms()
 
     @property
-    def hedge_factor(self):
-        """How many times its usual latency a call may take before a second one is sent."""
-        return self._delay.factor
+    def hedge_beyond_ms(self):
+        """What a call may take beyond its server's usual latency before a second one is sent."""
+        return self._delay.beyond_ms
 
     def hedge_delay_ms(self, typical_ms):
         """Return how long to wait before a second call, or ``None`` for never.
