--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import fire
 
-from . import calls, capacity, claims, histories, real, recovery, scale, scenario
+from . import calls, capacity, claims, documents, histories, load, real, recovery, scale, scenario
 
 
 class Bench:
@@ -28,6 +28,10 @@
         """Store writes and added latency of orders, in virtual time."""
         claims.run(_numbers(rates))
 
+    def documents(self, sizes=documents.SERVERS):
+        """Size of a configuration, and what taking it costs a node."""
+        documents.run(_numbers(sizes))
+
     def histories(self, first=0, count=histories.COUNT):
         """Histories of orders under random faults: violations, and how the callers ended."""
         histories.run(first, count)
@@ -39,6 +43,10 @@
         calls.run(shard_counts=(10, 30))
         scale.run(sizes=(7, 60))
 
+    def load(self, seed=1):
+        """Open-loop load on real nodes, with and without hedges."""
+        load.run(seed)
+
     def recovery(self, name="outage", seed=1):
         """Time to normal load after an outage, and the second peak, in virtual time."""
         recovery.run(name, seed)
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,17 +10,16 @@
 QUERIES_PER_S = 310_000
 FAN_OUT = 330
 DATA_CENTRES = 15
-REGIONS = 5
 CHANGES_PER_DAY = 910
 RESTARTS_PER_DAY = 520 + 19
 DAY_S = 86_400
 CPU_LIMIT = 1.4
 MEMORY_LIMIT_MB = 64
 BYTES_LIMIT = 28 * 1024
-SERVER_JSON_BYTES = 140
-COMPRESSED_PART = 0.12
 FACT_BYTES = 70
 FANOUT = 4
+FACTS_A_RESTART = 3
+BOTH_WAYS = 2
 CONNECTIONS = 40
 STORE_WRITES_PER_S = 160
 
@@ -28,31 +27,43 @@
 def control_rows():
     """Return control work of a node at the target size."""
     scale = load("scale")["rows"]
+    at_size = scale[-1]
     large = [row for row in scale if row["nodes"] >= 200]
-    base_us, slope_us = slope_of([(row["nodes"], row["cpu_us_per_s"]) for row in large])
     _, slope_kb = slope_of([(row["nodes"], row["memory_kb"]) for row in large])
-    real = load("real")["rows"]
-    bare_mb = real[0]["rss_mb"]
-    at_size = scale[-1]
-    document_kb = REPLICAS * SERVER_JSON_BYTES * COMPRESSED_PART / 1024
-    change_bytes = CHANGES_PER_DAY * document_kb * 1024 * 2 / DAY_S
-    confirm_bytes = NODES * CHANGES_PER_DAY * FACT_BYTES * FANOUT * 2 / DAY_S
-    restart_bytes = RESTARTS_PER_DAY * 2 * FACT_BYTES * FANOUT * 2 / DAY_S
-    calm_bytes = at_size["bytes_per_s"] * 2
+    bare_mb = load("real")["rows"][0]["rss_mb"]
+    changes_per_s = CHANGES_PER_DAY / DAY_S
+    calm_cpu = at_size["cpu_us_per_s"] / 1e4
+    change_cpu = at_size["change_cpu_us"] * changes_per_s / 1e4
+    document = load("documents")["rows"][-1]
+    document_kb = document["stored_kb"]
+    calm_bytes = at_size["bytes_per_s"] * BOTH_WAYS
+    change_bytes = at_size["change_bytes"] * changes_per_s * BOTH_WAYS
+    document_bytes = document_kb * 1024 * changes_per_s * BOTH_WAYS
+    restart_bytes = RESTARTS_PER_DAY * FACTS_A_RESTART * FACT_BYTES * FANOUT * BOTH_WAYS / DAY_S
     return [
-        _row("gossip, pings: CPU", (base_us + slope_us * NODES) / 1e4, "% core", CPU_LIMIT),
-        _row("gossip, pings: bytes", calm_bytes, "B/s", BYTES_LIMIT),
-        _row("configurations: bytes", change_bytes, "B/s", ""),
-        _row("confirmations: bytes", confirm_bytes, "B/s", ""),
-        _row("restarts: bytes", restart_bytes, "B/s", ""),
+        _row("CPU in calm", calm_cpu, "% core", ""),
+        _row("CPU for changes and their confirmations", change_cpu, "% core", ""),
+        _row("CPU, all control", calm_cpu + change_cpu, "% core", CPU_LIMIT),
+        _row("bytes in calm", calm_bytes, "B/s", ""),
+        _row("bytes for changes and confirmations", change_bytes, "B/s", ""),
+        _row("bytes for documents", document_bytes, "B/s", ""),
+        _row("bytes for restarts", restart_bytes, "B/s", ""),
         _row(
-            "all control: bytes",
-            calm_bytes + change_bytes + confirm_bytes + restart_bytes,
+            "bytes, all control",
+            calm_bytes + change_bytes + document_bytes + restart_bytes,
             "B/s",
             BYTES_LIMIT,
         ),
-        _row("table of facts: memory", slope_kb * NODES / 1024, "MB", ""),
-        _row("process without a fleet: memory", bare_mb, "MB", ""),
+        _row("memory of the table of facts", slope_kb * NODES / 1024, "MB", ""),
+        _row("memory of a process without a fleet", bare_mb, "MB", ""),
+        _row("memory of the configuration", document["memory_mb"], "MB", ""),
+        _row(
+            "memory, all control",
+            slope_kb * NODES / 1024 + bare_mb + document["memory_mb"],
+            "MB",
+            MEMORY_LIMIT_MB,
+        ),
+        _row("time to take a configuration", document["take_ms"], "ms", ""),
         _row("a compressed configuration", document_kb, "KB", 1024),
         _row("a revision everywhere, 5 % loss", at_size["spread_max_ms"], "ms", 5_000),
         _row("waiting watches of the store", at_size["watching"], "calls", ""),
--- /dev/null
+++ b/bench/documents.py
@@ -0,0 +1,63 @@
+"""A configuration's size, and what taking it costs a node, by number of servers.
+
+Run as ``python -m bench documents``.
+"""
+
+import time
+import tracemalloc
+
+from auburnhollow.clock import ManualClock
+from auburnhollow.configuration import Keeper, Stored, check_document
+from auburnhollow.events import Recorder
+from auburnhollow_standins.virtual_fleet import document_of
+
+from .results import save, table
+
+SERVERS = (120, 1_200, 7_300)
+REPLICAS = 10
+ROUNDS = 3
+COLUMNS = ("servers", "json_kb", "stored_kb", "take_ms", "memory_mb", "full_check_ms")
+
+
+def measure(servers):
+    """Return the figures of one size."""
+    document = document_of(shards=servers // REPLICAS, replicas=REPLICAS)
+    stored = Stored(
+        number=1, change_id="bench", author="bench", note="", at_ms=0, document=document
+    )
+    data = stored.to_bytes()
+    take_ms = min(_taken(data)[0] for _ in range(ROUNDS))
+    tracemalloc.start()
+    keeper = _taken(data)[1]
+    memory, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started_s = time.process_time()
+    assert check_document(document) == []
+    check_s = time.process_time() - started_s
+    assert keeper.number == 1
+    return {
+        "servers": servers,
+        "json_kb": len(str(document)) / 1024,
+        "stored_kb": len(data) / 1024,
+        "take_ms": take_ms,
+        "memory_mb": memory / 1024 / 1024,
+        "full_check_ms": check_s * 1000,
+    }
+
+
+def _taken(data):
+    """Let a fresh keeper take the configuration; return the time in ms, and the keeper."""
+    keeper = Keeper(Recorder("bench", ManualClock()))
+    started_s = time.process_time()
+    keeper.offer(data, "bench")
+    configuration = keeper.configuration
+    configuration.replicas_of(configuration.service("desk"))
+    return (time.process_time() - started_s) * 1000, keeper
+
+
+def run(sizes=SERVERS):
+    """Measure all sizes, print a table and save it."""
+    rows = [measure(size) for size in sizes]
+    print(table(COLUMNS, rows))
+    save("documents", {"rows": rows})
+    return rows
