--- a/bench/load.py
+++ b/bench/load.py
@@ -9,11 +9,12 @@
 import random
 import time
 
+from hdrh.histogram import HdrHistogram
+
 from auburnhollow.exceptions import QueryError
 from auburnhollow.sessions import AsyncSession
 from auburnhollow_standins.deployments import FRANCHISE
 from auburnhollow_standins.fleet import running_fleet
-from hdrh.histogram import HdrHistogram
 
 from .results import save, table
 
