--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/scatter/tests/test_joining.py
@@ -0,0 +1,57 @@
+"""A caller's repeated asks join; other callers' never do."""
+
+import asyncio
+
+import pytest
+
+from auburnhollow_standins.virtual import run_virtually
+from auburnhollow_standins.virtual_fleet import search_of, virtual_fleet
+
+# The two asks, and how many calls each shard's servers get for both.
+PAIRS = [
+    ({"caller": "a", "request_id": "r"}, {"caller": "a", "request_id": "r"}, 1),
+    ({"caller": "a", "request_id": "r"}, {"caller": "b", "request_id": "r"}, 2),
+    ({"caller": "a", "request_id": "r"}, {"caller": "a", "request_id": "s"}, 2),
+    (
+        {"caller": "a", "request_id": "r"},
+        {"caller": "a", "request_id": "r", "query": {"text": "other"}},
+        2,
+    ),
+]
+
+
+@pytest.mark.parametrize(("first", "second", "calls"), PAIRS)
+def test_only_the_same_ask_of_the_same_caller_joins(first, second, calls):
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            coordinator = fleet.nodes["n0"].node.coordinator
+            asks = [coordinator.search(search_of(**ask)) for ask in (first, second)]
+            answers = await asyncio.gather(*asks)
+            ran = [call for server in fleet.servers.values() for call in server.ran]
+        assert len(ran) == 4 * calls
+        assert [answer.request_id for answer in answers] == [
+            first["request_id"],
+            second["request_id"],
+        ]
+
+    run_virtually(run())
+
+
+def test_the_work_ends_when_nobody_waits_for_it_any_more():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            for server in fleet.servers.values():
+                server.always = "hang"
+            coordinator = fleet.nodes["n0"].node.coordinator
+            search = search_of(deadline_ms=5_000.0)
+            one = asyncio.create_task(coordinator.search(search))
+            two = asyncio.create_task(coordinator.search(search))
+            await fleet.clock.sleep(10)
+            one.cancel()
+            await fleet.clock.sleep(10)
+            assert fleet.nodes["n0"].node.tier.gate.busy == 1
+            two.cancel()
+            await fleet.clock.sleep(10)
+            assert fleet.nodes["n0"].node.tier.gate.busy == 0
+
+    run_virtually(run())
