End quiet watches without a warning, and never watch without a pause

Cause, from reading: a watch that is quiet for 60 s ended with an error, so each watcher would warn once a minute in calm; and a store that ends each watch at once would be read and watched in a loop without a pause.

Ruled out: dropping the limit of 60 s; a watch whose connection has gone silent would then never end.

Before: the new test counts reads without bound in 10 s of virtual time (fails). After: fewer than 100, and a change is still in force in 5 s.

--- a/packages/auburnhollow/src/auburnhollow/configuration/spread.py
+++ b/packages/auburnhollow/src/auburnhollow/configuration/spread.py
@@ -88,8 +88,9 @@
                 pause_ms = FIRST_PAUSE_MS
             except StoreError as error:
                 log.warning("configuration: the store can't be watched: %s", error)
-                await self._clock.sleep(pause_ms * self._random.uniform(0.5, 1.5))
                 pause_ms = min(LONGEST_PAUSE_MS, pause_ms * 2)
+            # A store that ends each watch at once must not be asked without a pause.
+            await self._clock.sleep(pause_ms * self._random.uniform(0.5, 1.5))
 
     async def start(self):
         """Get a first configuration from the store, or else from any peer."""
--- a/packages/auburnhollow/src/auburnhollow/configuration/tests/test_in_force.py
+++ b/packages/auburnhollow/src/auburnhollow/configuration/tests/test_in_force.py
@@ -12,6 +12,7 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
+from auburnhollow_standins.fakes import FakeStore
 from auburnhollow_standins.virtual import run_virtually
 from auburnhollow_standins.virtual_fleet import virtual_fleet
 
@@ -249,6 +250,31 @@
     run_virtually(run())
 
 
+def test_a_store_that_ends_each_watch_at_once_is_not_flooded():
+    async def run():
+        async with virtual_fleet(nodes=1) as fleet:
+            watch = FakeStore.watch
+
+            async def ends_at_once(store, key, revision):
+                await store._enter("watches")
+                return
+                yield
+
+            FakeStore.watch = ends_at_once
+            fleet.shared.end_watches()
+            try:
+                before = fleet.shared.counts["reads"]
+                await fleet.clock.sleep(10_000)
+                assert 10 < fleet.shared.counts["reads"] - before < 100
+                await fleet.change(fleet.document, base=1)
+                await fleet.clock.sleep(IN_FORCE_MS)
+                assert fleet.revisions() == {2}
+            finally:
+                FakeStore.watch = watch
+
+    run_virtually(run())
+
+
 def test_few_nodes_watch_the_store():
     async def run():
         counts = {}
--- a/packages/auburnhollow/src/auburnhollow/platform/store.py
+++ b/packages/auburnhollow/src/auburnhollow/platform/store.py
@@ -19,6 +19,7 @@
 WRITE_TIMEOUT_MS = 2_000
 ABSENT = 0
 LEASE_REUSE = 0.05
+WATCH_QUIET_MS = 60_000.0
 
 
 class KeyValue(Record):
@@ -53,7 +54,10 @@
         raise NotImplementedError
 
     def watch(self, key, revision):
-        """Iterate over changes of ``key`` after ``revision`` for as long as the call lasts."""
+        """Iterate over changes of ``key`` after ``revision`` for as long as the call lasts.
+
+        The end of the iteration says nothing about the key.
+        """
         raise NotImplementedError
 
 
@@ -90,12 +94,13 @@
     >>> await store.get("configuration/current")
     """
 
-    __slots__ = ("_clock", "_leases", "_session", "_url")
+    __slots__ = ("_clock", "_leases", "_quiet_ms", "_session", "_url")
 
-    def __init__(self, session, url, clock=None):
+    def __init__(self, session, url, clock=None, quiet_ms=WATCH_QUIET_MS):
         self._session = session
         self._url = url.rstrip("/")
         self._clock = clock or Clock()
+        self._quiet_ms = quiet_ms
         self._leases = {}
 
     async def get(self, key):
@@ -146,13 +151,17 @@
             async with self._session.post(
                 self._url + "/v3/watch",
                 data=orjson.dumps({"create_request": create}),
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=60.0),
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=2.0, sock_read=self._quiet_ms / 1000
+                ),
             ) as response:
                 if response.status != 200:
                     raise StoreUnavailable(f"watch of {key}: status {response.status}")
                 async for line in response.content:
                     for event in orjson.loads(line).get("result", {}).get("events", ()):
                         yield _key_value(event["kv"])
+        except aiohttp.SocketTimeoutError:
+            return
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise StoreUnavailable(f"watch of {key}: {error!r}") from error
 
--- a/packages/auburnhollow/src/auburnhollow/platform/tests/test_store.py
+++ b/packages/auburnhollow/src/auburnhollow/platform/tests/test_store.py
@@ -218,6 +218,16 @@
     asyncio.run(run())
 
 
+def test_a_watch_that_is_quiet_for_long_ends_without_an_error():
+    async def run():
+        standin = StoreStandin(delay_ms=0.0)
+        async with served(standin.app()) as url, aiohttp.ClientSession() as session:
+            store = HttpStore(session, url, quiet_ms=200.0)
+            assert [entry async for entry in store.watch("a", 0)] == []
+
+    asyncio.run(run())
+
+
 def test_writes_share_a_lease():
     async def run():
         standin = StoreStandin(delay_ms=0.0)
