Split the fakes by interface and bound the window of keys by what is kept

Changed: fake_platform, fake_peers and fake_backends; the window goes to one hour, the other hour is room for clocks that differ.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -16,7 +16,8 @@
 from auburnhollow.identifiers import new_id
 from auburnhollow_node.node import Node
 from auburnhollow_node.settings import DEFAULTS, Settings
-from auburnhollow_standins.fakes import FakeInstances, FakePeers, FakeStore, Network, SharedStore
+from auburnhollow_standins.fake_peers import FakePeers, Network
+from auburnhollow_standins.fake_platform import FakeInstances, FakeStore, SharedStore
 from auburnhollow_standins.virtual_fleet import document_of, search_of
 
 from .results import save, slope_of, table
--- a/packages/auburnhollow-node/src/auburnhollow_node/settings.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/settings.py
@@ -10,6 +10,9 @@
 _ADDRESS = {"type": "string", "pattern": "^[^:]+:[0-9]{1,5}$"}
 _DURATION = {"type": "number", "minimum": 0, "maximum": 3_600_000}
 
+# Claims are kept for two hours; the rest is room for clocks that differ.
+LONGEST_WINDOW_MS = 3_600_000
+
 SETTINGS = {
     "type": "object",
     "additionalProperties": False,
@@ -30,7 +33,7 @@
         "body_ms": _DURATION,
         "linger_ms": _DURATION,
         "shutdown_ms": _DURATION,
-        "claim_window_ms": {"type": "number", "minimum": 10_000, "maximum": 86_400_000},
+        "claim_window_ms": {"type": "number", "minimum": 10_000, "maximum": LONGEST_WINDOW_MS},
         "watchers": {"type": "integer", "minimum": 1, "maximum": 20},
         "seed": {"type": "integer"},
     },
--- a/packages/auburnhollow/src/auburnhollow/configuration/tests/test_in_force.py
+++ b/packages/auburnhollow/src/auburnhollow/configuration/tests/test_in_force.py
@@ -12,7 +12,7 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from auburnhollow_standins.fakes import FakeStore
+from auburnhollow_standins.fake_platform import FakeStore
 from auburnhollow_standins.virtual import run_virtually
 from auburnhollow_standins.virtual_fleet import virtual_fleet
 
--- a/packages/auburnhollow/src/auburnhollow/platform/tests/test_store.py
+++ b/packages/auburnhollow/src/auburnhollow/platform/tests/test_store.py
@@ -11,7 +11,7 @@
 from auburnhollow.exceptions import StoreOutcomeUnknown, StoreUnavailable
 from auburnhollow.platform import HttpStore, InstanceList, Store
 from auburnhollow.platform.store import settle_swap
-from auburnhollow_standins.fakes import FakeStore, SharedStore
+from auburnhollow_standins.fake_platform import FakeStore, SharedStore
 from auburnhollow_standins.instances import InstancesStandin
 from auburnhollow_standins.store import StoreStandin
 from auburnhollow_standins.virtual import VirtualClock, run_virtually
--- a/packages/auburnhollow/src/auburnhollow/scatter/tests/test_not_run.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/tests/test_not_run.py
@@ -5,7 +5,7 @@
 import pytest
 
 from auburnhollow.exceptions import QueryError, Ran
-from auburnhollow_standins.fakes import RAN_BY_STEP, STEPS
+from auburnhollow_standins.fake_backends import RAN_BY_STEP, STEPS
 from auburnhollow_standins.virtual import run_virtually
 from auburnhollow_standins.virtual_fleet import document_of, search_of, virtual_fleet
 
--- /dev/null
+++ b/standins/src/auburnhollow_standins/fake_peers.py
@@ -0,0 +1,117 @@
+"""Fake links between nodes, for tests in virtual time."""
+
+import asyncio
+
+from auburnhollow.exceptions import PeerError
+from auburnhollow.peers import Peers, pack
+from auburnhollow.peers.codec import Failure, feed, new_unpacker
+
+
+class Network:
+    """Links between fake peers: delay, loss, cuts.
+
+    :param copies: send messages through msgpack, as the real link does.
+    """
+
+    def __init__(self, random, delay_ms=1.0, loss=0.0, copies=True):
+        self.handlers = {}
+        self.pausables = {}
+        self.random = random
+        self.delay_ms = delay_ms
+        self.loss = loss
+        self.copies = copies
+        self.cuts = set()
+        self.bytes_sent = 0
+        self.messages = 0
+
+    def cut(self, some, others):
+        """Cut all links between two groups of addresses."""
+        for one in some:
+            for other in others:
+                self.cuts.add(frozenset((one, other)))
+
+    def heal(self):
+        """Restore all links."""
+        self.cuts.clear()
+
+    def is_lost(self, sender, address):
+        """Return whether a message is lost now."""
+        if frozenset((sender, address)) in self.cuts:
+            return True
+        return self.random.random() < self.loss
+
+
+class FakePeers(Peers):
+    """One node's links in a :class:`Network`."""
+
+    __slots__ = ("_address", "_clock", "_network", "_tasks")
+
+    def __init__(self, network, address, clock):
+        self._network = network
+        self._address = address
+        self._clock = clock
+        self._tasks = set()
+
+    async def ask(self, address, message, timeout_ms):
+        """Send a message and return the answer."""
+        try:
+            async with self._clock.timeout(timeout_ms):
+                answer = await self._deliver(address, message, asks=True)
+        except TimeoutError:
+            raise PeerError(f"{address}: no answer") from None
+        if isinstance(answer, Failure):
+            raise PeerError(f"{address}: {answer.text}")
+        return answer
+
+    def tell(self, address, message):
+        """Send a message without an answer."""
+        task = asyncio.get_running_loop().create_task(self._tell(address, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tell(self, address, message):
+        try:
+            await self._deliver(address, message, asks=False)
+        except PeerError:
+            return
+
+    async def _deliver(self, address, message, asks):
+        network = self._network
+        await self._ready(self._address)
+        message = self._sent(message)
+        await self._clock.sleep(network.delay_ms * network.random.uniform(0.5, 1.5))
+        handler = network.handlers.get(address)
+        if handler is None:
+            raise PeerError(f"{address}: refused")
+        if network.is_lost(self._address, address):
+            await self._lost(asks)
+        await self._ready(address)
+        answer = await handler(message)
+        if not asks:
+            return None
+        await self._ready(address)
+        answer = self._sent(answer)
+        await self._clock.sleep(network.delay_ms * network.random.uniform(0.5, 1.5))
+        if network.is_lost(address, self._address):
+            await self._lost(asks)
+        await self._ready(self._address)
+        return answer
+
+    async def _lost(self, asks):
+        if asks:
+            await asyncio.Event().wait()
+        raise PeerError("lost")
+
+    async def _ready(self, address):
+        pausable = self._network.pausables.get(address)
+        if pausable is not None and pausable.is_paused:
+            await pausable.ready()
+
+    def _sent(self, message):
+        network = self._network
+        network.messages += 1
+        if not network.copies:
+            return message
+        data = pack(message)
+        network.bytes_sent += len(data)
+        return feed(new_unpacker(), data)[0][0]
--- a/standins/src/auburnhollow_standins/virtual_fleet.py
+++ b/standins/src/auburnhollow_standins/virtual_fleet.py
@@ -13,16 +13,9 @@
 from auburnhollow_node.node import Node
 from auburnhollow_node.settings import DEFAULTS, Settings
 
-from .fakes import (
-    FakeBackends,
-    FakeInstances,
-    FakePeers,
-    FakeServer,
-    FakeStore,
-    Network,
-    Pausable,
-    SharedStore,
-)
+from .fake_backends import FakeBackends, FakeServer
+from .fake_peers import FakePeers, Network
+from .fake_platform import FakeInstances, FakeStore, Pausable, SharedStore
 from .virtual import VirtualClock
 
 CENTRES = ("north", "south", "east")
