Show the loser of a race what both operators changed

Cause: `apply` told the loser who came first, not what; issue and design ask for the difference of both versions.

Changed: on a conflict both differences since the base revision are printed. An empty list stood as {} in a difference; it now stands as it is, with a test.

--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -22,6 +22,7 @@
 from auburnhollow.exceptions import (
     AuburnhollowError,
     ConfigurationError,
+    ConflictError,
     Finding,
     StoreOutcomeUnknown,
     StoreUnavailable,
@@ -214,7 +215,11 @@
         if not yes and not _confirmed():
             self._progress("nothing was written")
             return
-        stored = await self._change(repository, change)
+        try:
+            stored = await self._change(repository, change)
+        except ConflictError as error:
+            await self._show_race(repository, change, error.current)
+            raise
         self._progress(f"accepted as revision {stored.number}, change {stored.change_id}")
         confirmation = await self._wait_in_force(fleet, stored.number, wait_s)
         self._print(
@@ -233,6 +238,15 @@
             waiting = texts.names_text(confirmation.waiting)
             raise NotInForce(f"revision {stored.number} is accepted; not confirmed by {waiting}")
 
+    async def _show_race(self, repository, change, current):
+        """Show the loser of a race what both changed since the revision it started from."""
+        base = await repository.revision(change.base)
+        before = EMPTY if base is None else base.document
+        self._progress(f"theirs since revision {change.base}:")
+        self._progress(texts.differences_text(differences(before, current.document)))
+        self._progress(f"yours since revision {change.base}:")
+        self._progress(texts.differences_text(differences(before, change.document)))
+
     async def _change(self, repository, change):
         """Write, and go on asking under the same change id while the outcome is unknown."""
         change_id = new_change_id()
--- a/packages/auburnhollow-operator/tests/test_commands.py
+++ b/packages/auburnhollow-operator/tests/test_commands.py
@@ -67,9 +67,13 @@
         assert code == 0
         assert "booking-desk-0-0" in out
         assert "booking-desk-0-1" not in out
-        code, _, err = await shell.run("apply", path, "--yes", "--base", "1")
+        other = shell.file("other.json", {**document, "draining": ["depot-portal-0-3"]})
+        code, _, err = await shell.run("apply", other, "--yes", "--base", "1")
         assert code == 3
         assert "revision 2" in err
+        theirs, _, yours = err.partition("yours since revision 1")
+        assert "labels.tier: None -> 'gold'" in theirs.partition("theirs since revision 1")[2]
+        assert "draining: [] -> ['depot-portal-0-3']" in yours
         code, _, _ = await shell.run("drain", "depot-portal-0-0")
         assert code == 0
         code, out, _ = await shell.run("diff", "2")
--- a/packages/auburnhollow/src/auburnhollow/configuration/difference.py
+++ b/packages/auburnhollow/src/auburnhollow/configuration/difference.py
@@ -28,10 +28,10 @@
 def _compare(path, before, after, found):
     if before == after:
         return
-    before, after = _keyed(before), _keyed(after)
-    if isinstance(before, dict) and isinstance(after, dict):
-        for key in [*before, *(key for key in after if key not in before)]:
-            _compare([*path, key], before.get(key, _ABSENT), after.get(key, _ABSENT), found)
+    old, new = _keyed(before), _keyed(after)
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key in [*old, *(key for key in new if key not in old)]:
+            _compare([*path, key], old.get(key, _ABSENT), new.get(key, _ABSENT), found)
         return
     found.append(Difference(place=place_of(path), before=_shown(before), after=_shown(after)))
 
--- a/packages/auburnhollow/src/auburnhollow/configuration/tests/test_check.py
+++ b/packages/auburnhollow/src/auburnhollow/configuration/tests/test_check.py
@@ -76,3 +76,8 @@
     found = {difference.place: difference for difference in differences(before, after)}
     assert set(found) == {"servers[s0-0]", "services[desk].slots"}
     assert found["services[desk].slots"].after == 9
+
+
+def test_a_list_of_names_is_shown_as_it_stands():
+    (found,) = differences({"draining": []}, {"draining": ["a"]})
+    assert str(found) == "draining: [] -> ['a']"
