--- a/packages/auburnhollow/src/auburnhollow/once/claims.py
+++ b/packages/auburnhollow/src/auburnhollow/once/claims.py
@@ -10,7 +10,13 @@
 FAULT = 3
 UNKNOWN = 4
 
-FINAL_STATES = (DONE, FAULT, UNKNOWN)
+STATE_NAMES = {
+    CLAIMED: "claimed",
+    VOID: "void",
+    DONE: "done",
+    FAULT: "fault",
+    UNKNOWN: "unknown",
+}
 
 
 class Claim(Record):
--- a/packages/auburnhollow/src/auburnhollow/once/orders.py
+++ b/packages/auburnhollow/src/auburnhollow/once/orders.py
@@ -26,7 +26,7 @@
 from ..retry import spread_ms
 from ..routing.calls import finish_call, next_server
 from ..routing.plan import find_service, plan_request
-from .claims import DONE, FAULT, UNKNOWN, VOID
+from .claims import DONE, FAULT, STATE_NAMES, UNKNOWN, VOID
 from .messages import SettleAsk
 from .refusals import nothing_sent, reused
 from .requests import MOST_SKEW_MS, OrderResult, body_hash, parse_key
@@ -224,7 +224,9 @@
         attempt.end(state, outcome)
         kept = outcome if len(outcome) <= LARGEST_OUTCOME else None
         self._settle(key, attempt, state, kept)
-        self._tier.events.record("order-ended", key=order.key, state=state, service=order.service)
+        self._tier.events.record(
+            "order-ended", key=order.key, state=STATE_NAMES[state], service=order.service
+        )
         return _result(order, state, outcome, replayed=False)
 
     def _give_up(self, order, key, attempt, last):
