Tell the peers that a node leaves before it ends

News of members waits 500 ms for more, a draining node ended 300 ms after it had left, so nobody was told but by a ping's luck.

Changed: a draining node passes its news on at once.

--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -127,6 +127,7 @@
         """Finish orders in progress, keep their outcomes, and tell the peers of the end."""
         await self.orders.flush()
         self.membership.leave()
+        self.spreader.push_now()
         await self.clock.sleep(LEAVE_PAUSE_MS)
         self.events.record("left")
 
--- a/packages/auburnhollow/src/auburnhollow/gossip/spreader.py
+++ b/packages/auburnhollow/src/auburnhollow/gossip/spreader.py
@@ -85,6 +85,11 @@
                 continue
             self._push()
 
+    def push_now(self):
+        """Pass all news on without waiting for more."""
+        if self._news:
+            self._push()
+
     async def sync(self, address):
         """Compare tables with one peer and exchange what differs.
 
--- a/packages/auburnhollow/src/auburnhollow/membership/tests/test_membership.py
+++ b/packages/auburnhollow/src/auburnhollow/membership/tests/test_membership.py
@@ -49,6 +49,19 @@
     run_virtually(run())
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_a_node_that_drains_has_told_its_peers_before_it_ends(seed):
+    async def run():
+        async with virtual_fleet(nodes=3, seed=seed) as fleet:
+            await settled(fleet, 10_000)
+            await fleet.nodes["n1"].node.drain()
+            await fleet.kill("n1")
+            states = [entry.node.membership.members["n1"].state for entry in fleet.nodes.values()]
+            assert states == ["left", "left"]
+
+    run_virtually(run())
+
+
 @pytest.mark.parametrize("pause_ms", [1_000, 8_000, 60_000])
 def test_a_paused_node_comes_back_and_blames_nobody(pause_ms):
     async def run():
