--- a/packages/auburnhollow-node/tests/test_processes.py
+++ b/packages/auburnhollow-node/tests/test_processes.py
@@ -211,6 +211,56 @@
     asyncio.run(run())
 
 
+def test_a_caller_that_goes_away_ends_its_search_but_not_its_order():
+    async def run():
+        behaviour = {"mean_ms": 3_000.0}
+        async with running_fleet(FRANCHISE, nodes=1, behaviour=behaviour, settings=QUICK) as fleet:
+            node = fleet.nodes[0]
+            fleet.document["services"][0]["policy"]["silent_ms"] = 60_000
+            await fleet.repository.change(fleet.document, base=1, author="test", note="patience")
+
+            async def is_in_force():
+                return (await status_of(fleet, node))["revision"] == 2
+
+            await wait_until(is_in_force)
+            port = int(node.url.rpartition(":")[2])
+            search = {"service": "booking-desk", "query": {}, "deadline_ms": 60_000}
+            order = {"service": "booking-desk", "order": {"n": 1}, "deadline_ms": 60_000}
+            for path, body in (("/v1/search", search), ("/v1/orders", order)):
+                data = orjson.dumps(body)
+                head = (
+                    f"POST {path} HTTP/1.1\r\nHost: x\r\nIdempotency-Key: {new_key()}\r\n"
+                    f"Content-Length: {len(data)}\r\n\r\n"
+                )
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(head.encode() + data)
+
+                async def has_arrived(body=body):
+                    counts = [backend.counts["ran"] for backend in fleet.backends.values()]
+                    return sum(counts) >= (10 if body is search else 11)
+
+                await wait_until(has_arrived)
+                writer.close()
+
+                async def is_cancelled():
+                    counts = [backend.counts["cancelled"] for backend in fleet.backends.values()]
+                    return sum(counts) >= 10
+
+                await wait_until(is_cancelled)
+
+            async def has_ended():
+                async with fleet.session.get(node.url + "/operator/events") as response:
+                    events = orjson.loads(await response.read())["events"]
+                return any(
+                    event["kind"] == "order-ended" and event["details"]["state"] == "done"
+                    for event in events
+                )
+
+            await wait_until(has_ended, tries=1200)
+
+    asyncio.run(run())
+
+
 def test_a_fleet_goes_on_while_the_store_is_down_and_a_fresh_node_joins_it():
     async def run():
         async with running_fleet(FRANCHISE, nodes=2, settings=QUICK) as fleet:
