--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,7 +21,6 @@
 FACTS_A_RESTART = 3
 BOTH_WAYS = 2
 CONNECTIONS = 40
-STORE_WRITES_PER_S = 160
 
 
 def control_rows():
@@ -79,6 +78,7 @@
     per_node = calls_per_s / NODES
     per_replica = calls_per_s / REPLICAS
     cores = per_node * per_call_us / 1e6
+    store_writes = max(row["writes_per_s"] for row in load("claims")["rows"])
     return [
         _row("replica calls a node", per_node, "1/s", ""),
         _row("replica calls a replica", per_replica, "1/s", ""),
@@ -90,7 +90,7 @@
         _row("shards in one call to reach the target", cores, "shards", ""),
         _row("nodes that want a server, full mesh", NODES, "", CONNECTIONS),
         _row("nodes of one data centre", NODES / DATA_CENTRES, "", CONNECTIONS),
-        _row("store writes for orders, all nodes", STORE_WRITES_PER_S, "1/s", ""),
+        _row("store writes for orders, 7 nodes", store_writes, "1/s", ""),
     ]
 
 
--- a/packages/auburnhollow/src/auburnhollow/routing/ejection.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/ejection.py
@@ -1,14 +1,13 @@
 """Backend servers that are passed over because calls to them fail."""
 
 import logging
-import math
 
 log = logging.getLogger("routing")
 
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION_MS = 1_000.0
 LONGEST_EJECTION_MS = 30_000.0
-MOST_EJECTED = 0.34
+EJECTED_ONE_IN = 3
 
 
 class Failures:
@@ -25,7 +24,8 @@
 class Ejection:
     """Passes over servers whose calls fail in a row.
 
-    No more than ``MOST_EJECTED`` of a group is ejected; when more look bad, the fault is likely
+    No more than one in ``EJECTED_ONE_IN`` of a shard's replicas, and one in any case, is ejected;
+    when more look bad, the fault is likely
     ours, and nobody of the group is passed over. What calls meet counts; health endpoints do not.
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
@@ -73,13 +73,13 @@
     def usable(self, servers, group):
         """Return those of ``servers`` that are not passed over.
 
-        :param group: all servers of the service, which bound how many may be ejected.
+        :param group: all replicas of the shard, which bound how many may be ejected.
         """
         now_ms = self._clock.now_ms()
         if not self._records:
             return servers
         bad = {server.id for server in group if self._is_bad(server.id, now_ms)}
-        if not bad or len(bad) > math.ceil(len(group) * MOST_EJECTED):
+        if not bad or len(bad) > max(1, len(group) // EJECTED_ONE_IN):
             return servers
         good = [server for server in servers if server.id not in bad]
         return good or servers
--- a/packages/auburnhollow/src/auburnhollow/routing/tests/test_routing.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/tests/test_routing.py
@@ -108,10 +108,12 @@
     assert parts.choose()["s0-2"] > 0
 
 
-def test_when_too_many_fail_nobody_is_ejected():
+@pytest.mark.parametrize("failing", [2, 3])
+def test_when_too_many_fail_nobody_is_ejected(failing):
     parts = Parts()
     for server in parts.servers:
         parts.choice.observe(server, 2.0)
+    for server in parts.servers[:failing]:
         for _ in range(3):
             parts.ejection.failed(server.id)
     assert len(parts.choose()) == 3
