--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
-PACKAGES = packages/auburnhollow packages/auburnhollow-node packages/auburnhollow-operator standins
+PACKAGES = packages/auburnhollow packages/auburnhollow-node packages/auburnhollow-operator platform standins
 
 .PHONY: setup test demo bench format lint check-capacity
 
--- /dev/null
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/__init__.py
@@ -0,0 +1,5 @@
+"""A node that passes requests on unread, as the operators' routes say."""
+
+from .node import RelayNode
+
+__all__ = ["RelayNode"]
--- /dev/null
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -0,0 +1,148 @@
+"""The program of a node that passes requests on."""
+
+import asyncio
+import gc
+import importlib
+import logging
+import signal
+import sys
+from contextlib import asynccontextmanager, suppress
+
+import orjson
+import uvloop
+
+from auburnhollow.decisions import decide
+from auburnhollow.exceptions import Finding, SettingsError
+
+from .logs import set_up_logs
+from .node import RelayNode
+from .server import PassingServer
+from .settings import build_settings
+
+log = logging.getLogger("node")
+
+EXIT_SETTINGS = 2
+DRAIN_POLL_MS = 50.0
+# Few objects of a request are cyclic; a full collection stops the node for milliseconds.
+GC_THRESHOLD = 50_000
+
+
+def load_settings(path):
+    """Return the :class:`RelaySettings` in a JSON file.
+
+    :raises SettingsError: with all findings together.
+    """
+    try:
+        with open(path, "rb") as file:
+            document = orjson.loads(file.read())
+    except OSError as error:
+        raise SettingsError([Finding(path, error.strerror)]) from error
+    except orjson.JSONDecodeError as error:
+        raise SettingsError([Finding(f"{path}:{error.lineno}", error.msg)]) from error
+    if not isinstance(document, dict):
+        raise SettingsError([Finding(path, "not a JSON object")])
+    return build_settings(document)
+
+
+class Signals:
+    """What the process was told: ``stop`` once, ``kill`` by a second signal."""
+
+    __slots__ = ("kill", "stop")
+
+    def __init__(self):
+        self.stop = asyncio.Event()
+        self.kill = asyncio.Event()
+
+    def attach(self, loop, on_reload):
+        """Listen to the signals of the process."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._told_to_stop)
+        loop.add_signal_handler(signal.SIGHUP, on_reload)
+
+    def _told_to_stop(self):
+        if self.stop.is_set():
+            self.kill.set()
+        self.stop.set()
+
+
+async def serve(settings, path):
+    """Run one node until it is told to stop."""
+    signals = Signals()
+
+    def reload():
+        try:
+            load_settings(path)
+            decide(log, "settings read again; a restart applies them")
+        except SettingsError as error:
+            decide(log, "settings not valid", level=logging.ERROR, error=str(error))
+
+    signals.attach(asyncio.get_running_loop(), reload)
+    adapter = importlib.import_module(settings.adapter)
+    async with adapter.open_platform(settings) as platform:
+        node = RelayNode(settings, platform.feed, platform.client)
+        front = PassingServer(adapter.build_front(node))
+        inner = PassingServer(adapter.build_inner(node))
+        async with listening(node, front, inner):
+            decide(log, "started", data_centre=settings.data_centre)
+            await signals.stop.wait()
+            await shut_down(node, front, signals.kill)
+    decide(log, "stopped")
+
+
+@asynccontextmanager
+async def listening(node, front, inner):
+    """Serve callers, and the balancer's and operators' questions, for the length of the block."""
+    settings = node.settings
+    node.start()
+    front.idle_ms = lambda: node.routes.limits.idle_ms if node.routes else None
+    await inner.listen(settings.ready)
+    if settings.metrics_port:
+        host = settings.ready.rpartition(":")[0]
+        await inner.listen(f"{host}:{settings.metrics_port}")
+    await front.listen(settings.front)
+    try:
+        yield
+    finally:
+        await node.stop()
+        front.close()
+        inner.close()
+
+
+async def shut_down(node, front, kill):
+    """Stop without cutting a request.
+
+    The balancer learns first and goes on sending for a while, which is still served; then new
+    connections and idle ones end, and requests in progress are finished.
+    """
+    settings = node.settings
+    decide(log, "stopping", linger_ms=settings.linger_ms, in_progress=node.in_progress)
+    started_ms = node.clock.now_ms()
+    node.is_stopping = True
+    front.close_after_answers()
+    with suppress(TimeoutError):
+        async with node.clock.timeout(settings.linger_ms):
+            await kill.wait()
+    front.stop_listening()
+    front.close_idle()
+    while front.connections and not kill.is_set():
+        if node.clock.now_ms() - started_ms > settings.shutdown_ms:
+            decide(log, "requests cut by the end of the grace period", count=node.in_progress)
+            return
+        await node.clock.sleep(DRAIN_POLL_MS)
+
+
+def main():
+    """Run the program."""
+    if len(sys.argv) != 2:
+        print("usage: python -m auburnhollow_node.relay SETTINGS", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    path = sys.argv[1]
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        for finding in error.findings:
+            print(f"{path}: {finding}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    set_up_logs(settings)
+    gc.set_threshold(GC_THRESHOLD, 20, 100)
+    uvloop.run(serve(settings, path))
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -122,6 +122,12 @@
     ran = Ran.NO
 
 
+class BackendReplaced(BackendError):
+    """Another server answers at the address of the one that was meant; it ran nothing."""
+
+    ran = Ran.NO
+
+
 class BackendLacksVersion(BackendError):
     """The server does not hold the asked index version.
 
@@ -213,6 +219,22 @@
     ran = Ran.NO
 
 
+class NoRoute(QueryError):
+    """No route leads where the request wants to go."""
+
+    status = 404
+    code = "no-route"
+    ran = Ran.NO
+
+
+class TooLarge(QueryError):
+    """The request is larger than callers may send."""
+
+    status = 413
+    code = "too-large"
+    ran = Ran.NO
+
+
 class NotReady(QueryError):
     """The node has no configuration, or an older one than the caller has seen."""
 
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -0,0 +1,174 @@
+"""Keeps the routes and the backend servers as the platform's store has them."""
+
+import logging
+from functools import singledispatch
+
+from ..decisions import decide
+from ..exceptions import StoreUnavailable
+from .feed import ConfigurationSeen, HistoryLost, ServerGone, ServerSeen, UnreadableEntry
+
+log = logging.getLogger("follow")
+
+# A connection that has gone silent must be noticed well within the 3 s that a change may take.
+WAIT_MS = 5_000.0
+FIRST_PAUSE_MS = 100.0
+LONGEST_PAUSE_MS = 800.0
+
+
+@singledispatch
+def take(statement, follower):
+    """Apply one statement of the store."""
+    raise TypeError(type(statement).__name__)
+
+
+@take.register
+def _(statement: ConfigurationSeen, follower):
+    follower.keep_routes(statement.table)
+
+
+@take.register
+def _(statement: ServerSeen, follower):
+    follower.registry.put(statement.server)
+
+
+@take.register
+def _(statement: ServerGone, follower):
+    follower.registry.remove(statement.id)
+
+
+@take.register
+def _(statement: UnreadableEntry, follower):
+    decide(log, "entry not readable", level=logging.WARNING, **statement.to_map())
+
+
+class Follower:
+    """Reads the store once, then its changes, through outages and lost history.
+
+    :param feed: :class:`Feed`.
+    :param registry: :class:`~auburnhollow.servers.ServerRegistry`.
+    :param clock: :class:`~auburnhollow.clock.Clock`.
+    :param random: a :class:`random.Random`.
+    :param on_routes: function that is called with each newer
+        :class:`~auburnhollow.routes.RouteTable`.
+
+    >>> follower = Follower(feed, registry, clock, random)
+    >>> task = asyncio.create_task(follower.run())
+    """
+
+    __slots__ = (
+        "_clock",
+        "_feed",
+        "_is_reachable",
+        "_random",
+        "_revision",
+        "_routes",
+        "_seen_ms",
+        "on_routes",
+        "registry",
+    )
+
+    def __init__(self, feed, registry, clock, random, on_routes=None):
+        self._feed = feed
+        self._clock = clock
+        self._random = random
+        self._is_reachable = None
+        self._revision = None
+        self._routes = None
+        self._seen_ms = None
+        self.registry = registry
+        self.on_routes = on_routes
+
+    @property
+    def routes(self):
+        """The newest :class:`~auburnhollow.routes.RouteTable`, or ``None``."""
+        return self._routes
+
+    @property
+    def is_reachable(self):
+        """Whether the store answered last time; ``None`` before the first try."""
+        return self._is_reachable
+
+    @property
+    def age_ms(self):
+        """Milliseconds since the store last confirmed what is known; ``None`` if it never did."""
+        if self._seen_ms is None:
+            return None
+        return self._clock.now_ms() - self._seen_ms
+
+    def keep_routes(self, table):
+        """Take a configuration unless a newer one is in force."""
+        known = self._routes
+        if known is not None and table.version <= known.version:
+            if table.version < known.version:
+                decide(log, "configuration ignored", version=table.version, known=known.version)
+            return
+        if known is not None:
+            table.take_over(known)
+        self._routes = table
+        decide(
+            log,
+            "configuration in force",
+            version=table.version,
+            before=None if known is None else known.version,
+            routes=len(table.routes),
+        )
+        if self.on_routes is not None:
+            self.on_routes(table)
+
+    async def run(self):
+        """Follow the store until cancelled."""
+        pause_ms = FIRST_PAUSE_MS
+        while True:
+            try:
+                await self.step()
+                pause_ms = FIRST_PAUSE_MS
+            except StoreUnavailable as error:
+                self._lost(error)
+                await self._clock.sleep(pause_ms * (0.5 + self._random.random()))
+                pause_ms = min(LONGEST_PAUSE_MS, pause_ms * 2)
+
+    async def step(self):
+        """Read everything, or wait for the next changes.
+
+        :raises StoreUnavailable: when the store gives no answer.
+        """
+        if self._revision is None:
+            view = await self._feed.read()
+            self._reached()
+            self._take_all(view)
+        else:
+            try:
+                view = await self._feed.changes(self._revision, WAIT_MS)
+            except HistoryLost:
+                decide(log, "history lost, reading anew", revision=self._revision)
+                self._revision = None
+                return
+            self._reached()
+            for statement in view.statements:
+                take(statement, self)
+        self._revision = view.revision
+
+    def _take_all(self, view):
+        servers = []
+        for statement in view.statements:
+            if isinstance(statement, ServerSeen):
+                servers.append(statement.server)
+                continue
+            take(statement, self)
+        self.registry.replace(servers)
+        decide(log, "store read", revision=view.revision, servers=len(servers))
+
+    def _reached(self):
+        self._seen_ms = self._clock.now_ms()
+        if self._is_reachable:
+            return
+        if self._is_reachable is False:
+            decide(log, "store regained", revision=self._revision)
+        self._is_reachable = True
+        self.registry.outage_ended()
+
+    def _lost(self, error):
+        self.registry.outage_began()
+        if self._is_reachable is not False:
+            decide(log, "store lost", level=logging.WARNING, error=str(error), age_ms=self.age_ms)
+        self._is_reachable = False
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -0,0 +1,102 @@
+"""Choosing the backend server for one call."""
+
+from .views import ServerView
+
+# Round trips between data centres until they are measured; typical within and between regions.
+SAME_CENTRE_MS = 1.0
+SAME_REGION_MS = 8.0
+OTHER_REGION_MS = 25.0
+# A server that fails is better than none, so it costs time but is not ruled out.
+EJECTED_MS = 5_000.0
+# Nodes that know the same must not all take the same server.
+BLUR = 0.1
+
+
+class Choice:
+    """Chooses the server that is expected to answer first.
+
+    Expected is the way there and back, plus the usual work of the route at the server's measured
+    speed, plus a queue where its slots are taken, plus the time that a late call has waited
+    already: a server that pauses or hangs is left alone until it answers again.
+
+    :param data_centre: where this node runs.
+    :param regions: dictionary of data centres to regions.
+    :param clock: :class:`~auburnhollow.clock.Clock`.
+    :param random: a :class:`random.Random`.
+    """
+
+    __slots__ = ("_clock", "_data_centre", "_distances", "_random", "_regions", "_views")
+
+    def __init__(self, data_centre, regions, clock, random):
+        self._data_centre = data_centre
+        self._regions = regions
+        self._clock = clock
+        self._random = random
+        self._distances = {}
+        self._views = {}
+
+    def choose(self, servers, work_ms, tried=()):
+        """Return a server, or ``None`` when all were tried.
+
+        :param servers: the servers that may get work.
+        :param work_ms: usual time of the work.
+        :param tried: ids of servers not to take again.
+        """
+        now_ms = self._clock.now_ms()
+        best = None
+        best_ms = 0.0
+        for server in servers:
+            if server.id in tried:
+                continue
+            cost_ms = self._cost_ms(server, work_ms, now_ms)
+            if best is None or cost_ms < best_ms:
+                best = server
+                best_ms = cost_ms
+        return best
+
+    def expected_ms(self, server, work_ms):
+        """Return the usual time of a call to the server, without queues."""
+        view = self.view(server)
+        return self.distance_ms(server) + work_ms * view.speed(self._clock.now_ms())
+
+    def distance_ms(self, server):
+        """Return the time to the server and back, in milliseconds."""
+        distance = self._distances.get(server.data_centre)
+        if distance is None:
+            distance = self._first_distance_ms(server.data_centre)
+            self._distances[server.data_centre] = distance
+        return distance
+
+    def view(self, server):
+        """Return the :class:`ServerView` of a server."""
+        view = self._views.get(server.incarnation)
+        if view is None:
+            view = ServerView(server, self._clock.now_ms())
+            self._views[server.incarnation] = view
+        return view
+
+    def forget(self, servers):
+        """Drop what is known of all servers but these."""
+        kept = {server.incarnation for server in servers}
+        for incarnation in [one for one in self._views if one not in kept]:
+            if not self._views[incarnation].calls:
+                del self._views[incarnation]
+
+    def _cost_ms(self, server, work_ms, now_ms):
+        view = self.view(server)
+        busy = view.busy(now_ms)
+        work_ms = work_ms * view.speed(now_ms) * (1.0 + BLUR * self._random.random())
+        cost_ms = self.distance_ms(server) + work_ms
+        if busy >= server.slots:
+            cost_ms += work_ms * (busy + 1 - server.slots) / server.slots
+        cost_ms += view.lateness_ms(now_ms)
+        if view.is_ejected(now_ms):
+            cost_ms += EJECTED_MS
+        return cost_ms
+
+    def _first_distance_ms(self, data_centre):
+        if data_centre == self._data_centre:
+            return SAME_CENTRE_MS
+        if self._regions.get(data_centre) == self._regions.get(self._data_centre):
+            return SAME_REGION_MS
+        return OTHER_REGION_MS
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/relay/client.py
@@ -0,0 +1,16 @@
+"""What the relay needs of a connection to backend servers."""
+
+
+class ServerClient:
+    """Sends requests to backend servers."""
+
+    __slots__ = ()
+
+    async def send(self, server, request, remaining_ms):
+        """Send ``request`` to ``server`` and return its whole :class:`Answer`.
+
+        :param server: :class:`~auburnhollow.servers.Server`; no other may run the request.
+        :param remaining_ms: how long the caller still waits, in milliseconds.
+        :raises BackendError: with ``ran`` true to what the server may have done.
+        """
+        raise NotImplementedError
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -0,0 +1,132 @@
+"""What this node's own calls have shown of each backend server."""
+
+import math
+
+# One call may meet a pause or a long piece of work; it takes two to call a server slow.
+SPEED_STEP = 0.25
+SLOWEST_SAMPLE = 4.0
+FASTEST = 0.3
+SLOWEST = 12.0
+# A slow server is tried again after several seconds: slowness lasts seconds.
+FORGET_MS = 5_000.0
+LOAD_FRESH_MS = 250.0
+COLD_FACTOR = 1.6
+FAILURES_TO_EJECT = 2
+FIRST_EJECTION_MS = 700.0
+LONGEST_EJECTION_MS = 6_000.0
+
+
+class ServerView:
+    """One backend server as this node's calls have met it.
+
+    ``calls`` maps each call in progress to the time at which it began, oldest first.
+    """
+
+    __slots__ = (
+        "_cold_until_ms",
+        "_ejected_until_ms",
+        "_ejections",
+        "_failures",
+        "_late_since_ms",
+        "_load",
+        "_load_ms",
+        "_seen_ms",
+        "_speed",
+        "calls",
+    )
+
+    def __init__(self, server, now_ms):
+        self._cold_until_ms = now_ms + server.warm_up_ms
+        self._ejected_until_ms = 0.0
+        self._ejections = 0
+        self._failures = 0
+        self._late_since_ms = None
+        self._load = 0
+        self._load_ms = -LOAD_FRESH_MS
+        self._seen_ms = now_ms
+        self._speed = 1.0
+        self.calls = {}
+
+    def speed(self, now_ms):
+        """Return how many times as long as usual its work takes, faded towards 1."""
+        faded = math.exp((self._seen_ms - now_ms) / FORGET_MS)
+        speed = 1.0 + (self._speed - 1.0) * faded
+        if now_ms < self._cold_until_ms:
+            return speed * COLD_FACTOR
+        return speed
+
+    def busy(self, now_ms):
+        """Return how many requests it has, by its own word or by our calls."""
+        if now_ms - self._load_ms < LOAD_FRESH_MS:
+            return max(self._load, len(self.calls))
+        return len(self.calls)
+
+    def lateness_ms(self, now_ms):
+        """Return for how long a call has been late that has not ended yet."""
+        if self._late_since_ms is None:
+            return 0.0
+        return now_ms - self._late_since_ms
+
+    def is_ejected(self, now_ms):
+        """Return whether its calls have failed in a row."""
+        return now_ms < self._ejected_until_ms
+
+    def began(self, call, now_ms):
+        """Note a call that begins."""
+        self.calls[call] = now_ms
+
+    def late(self, now_ms):
+        """Note that a call in progress takes longer than nearly all do."""
+        if self._late_since_ms is None:
+            self._late_since_ms = now_ms
+
+    def answered(self, call, ratio, load, now_ms):
+        """Note an answer.
+
+        :param ratio: its time by the time that is usual, distance left out.
+        :param load: how many requests the server says that it has, or ``None``.
+        """
+        began_ms = self.calls.pop(call, now_ms)
+        self._failures = 0
+        self._ejections = 0
+        if load is not None:
+            self._load = load
+            self._load_ms = now_ms
+        if began_ms < self._seen_ms and ratio > 1.0 and self._late_since_ms is None:
+            # Calls that waited out the same pause are one sign, not several.
+            return
+        self._late_since_ms = None
+        self._learn(ratio, now_ms)
+
+    def gave_up(self, call, ratio, now_ms):
+        """Note a call that was ended without an answer after ``ratio`` times the usual time."""
+        self.calls.pop(call, None)
+        if not self.calls:
+            self._late_since_ms = None
+        if ratio > 1.0:
+            self._learn(ratio, now_ms)
+
+    def shed(self, call, slots, now_ms):
+        """Note that the server had no room for a call."""
+        self.calls.pop(call, None)
+        self._load = max(self._load, 2 * slots)
+        self._load_ms = now_ms
+
+    def failed(self, call, now_ms):
+        """Note a call that failed; returns for how long the server is passed over, or 0."""
+        self.calls.pop(call, None)
+        if not self.calls:
+            self._late_since_ms = None
+        self._failures += 1
+        if self._failures < FAILURES_TO_EJECT or self.is_ejected(now_ms):
+            return 0.0
+        duration_ms = min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2**self._ejections)
+        self._ejections += 1
+        self._ejected_until_ms = now_ms + duration_ms
+        return duration_ms
+
+    def _learn(self, ratio, now_ms):
+        speed = 1.0 + (self._speed - 1.0) * math.exp((self._seen_ms - now_ms) / FORGET_MS)
+        sample = min(SLOWEST_SAMPLE * max(1.0, speed), max(FASTEST, ratio))
+        self._speed = min(SLOWEST, speed + SPEED_STEP * (sample - speed))
+        self._seen_ms = now_ms
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/routes/table.py
@@ -0,0 +1,54 @@
+"""Finding the route of a request."""
+
+from .split import Split
+
+
+class RouteTable:
+    """All routes of one version of the configuration.
+
+    :param version: number of the configuration; a higher one is newer.
+    :param routes: list of :class:`~auburnhollow.routes.Route`.
+    :param services: list of :class:`~auburnhollow.routes.Service`.
+    :param limits: :class:`~auburnhollow.routes.FrontLimits`.
+    """
+
+    __slots__ = ("_by_place", "_splits", "limits", "routes", "services", "version")
+
+    def __init__(self, version, routes, services, limits):
+        self.version = version
+        self.routes = routes
+        self.services = {service.name: service for service in services}
+        self.limits = limits
+        self._by_place = {(route.host, route.prefix): route for route in routes}
+        self._splits = {}
+
+    def find(self, host, path):
+        """Return the route of ``host`` with the longest prefix of ``path``, or ``None``.
+
+        Prefixes end with a slash.
+
+        :param host: host name without port, in lower case.
+        :param path: as sent, without the query.
+        """
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._by_place.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+    def branch(self, route, random):
+        """Return the service that the next request of a route with branches goes to."""
+        split = self._splits.get(route.name)
+        if split is None:
+            split = Split(route.branches, random)
+            self._splits[route.name] = split
+        return split.next()
+
+    def take_over(self, older):
+        """Go on with the round-robin of branches that have not changed since ``older``."""
+        before = {route.name: route.branches for route in older.routes}
+        for route in self.routes:
+            split = older._splits.get(route.name)
+            if split is not None and before.get(route.name) == route.branches:
+                self._splits[route.name] = split
