--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
@@ -0,0 +1,127 @@
+"""Following the store through outages, lost history and old versions."""
+
+import asyncio
+import random
+
+from auburnhollow.exceptions import StoreUnavailable
+from auburnhollow.follow import (
+    ConfigurationSeen,
+    Feed,
+    Follower,
+    HistoryLost,
+    ServerGone,
+    ServerSeen,
+    StoreView,
+    UnreadableEntry,
+)
+from auburnhollow.routes import FrontLimits, RouteTable
+from auburnhollow.servers import ServerRegistry
+from auburnhollow_standins.fake_servers import a_server
+from auburnhollow_standins.virtual import VirtualClock, run_virtually
+
+LIMITS = FrontLimits(header_bytes=1, body_bytes=1, header_ms=1, idle_ms=1)
+DOWN = StoreUnavailable("down")
+LOST = HistoryLost("gone")
+
+
+def version(number):
+    return ConfigurationSeen(table=RouteTable(number, [], [], LIMITS))
+
+
+class ScriptedFeed(Feed):
+    """Gives what a script says, one entry a call, then nothing new for ever."""
+
+    def __init__(self, clock, *script):
+        self.clock = clock
+        self.script = list(script)
+        self.calls = []
+        self.revision = 0
+
+    async def read(self):
+        return await self._next("read")
+
+    async def changes(self, revision, wait_ms):
+        return await self._next("changes", wait_ms)
+
+    async def _next(self, call, wait_ms=4.0):
+        self.calls.append((self.clock.now_ms(), call))
+        await self.clock.sleep(4)
+        if not self.script:
+            await self.clock.sleep(wait_ms)
+            return StoreView(statements=[], revision=self.revision)
+        entry = self.script.pop(0)
+        if isinstance(entry, Exception):
+            raise entry
+        self.revision += 1
+        return StoreView(statements=entry, revision=self.revision)
+
+
+def follow(*script, for_ms=20_000.0):
+    async def play():
+        clock = VirtualClock()
+        feed = ScriptedFeed(clock, *script)
+        follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await clock.sleep(for_ms)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return follower, feed, [server.id for server in follower.registry.usable("search")]
+
+    return run_virtually(play())
+
+
+def test_the_newest_version_is_in_force_and_none_reverts():
+    follower, _, _ = follow([version(4)], [version(9)], [version(7)], [version(9)])
+    assert follower.routes.version == 9
+
+
+def test_a_read_after_lost_history_brings_no_older_version():
+    follower, feed, _ = follow([version(4)], [version(9)], LOST, [version(4)])
+    assert follower.routes.version == 9
+    assert [call for _, call in feed.calls[:4]] == ["read", "changes", "changes", "read"]
+
+
+def test_a_removal_that_no_event_told_is_found():
+    _, _, usable = follow(
+        [ServerSeen(server=a_server("a")), ServerSeen(server=a_server("b"))],
+        LOST,
+        [ServerSeen(server=a_server("b"))],
+    )
+    assert usable == ["b"]
+
+
+def test_changes_are_asked_again_from_where_they_ended():
+    seen = [ServerSeen(server=a_server("a"))]
+    _, feed, usable = follow(seen, DOWN, DOWN, [ServerSeen(server=a_server("b"))])
+    assert [call for _, call in feed.calls[:4]] == ["read", "changes", "changes", "changes"]
+    assert usable == ["a", "b"]
+
+
+def test_an_unreachable_store_is_asked_with_pauses():
+    _, feed, _ = follow(*([DOWN] * 200), for_ms=10_000.0)
+    assert len(feed.calls) <= 40
+    assert len(feed.calls) >= 10
+
+
+def test_a_quiet_store_costs_a_call_every_few_seconds():
+    _, feed, _ = follow([], for_ms=30_000.0)
+    assert len(feed.calls) <= 8
+
+
+def test_entries_that_cannot_be_read_name_nothing():
+    follower, _, usable = follow(
+        [UnreadableEntry(key="k", reason="x"), ServerSeen(server=a_server("a"))],
+        [UnreadableEntry(key="k", reason="x"), ServerGone(id="unknown")],
+    )
+    assert usable == ["a"]
+    assert follower.is_reachable
+
+
+def test_a_lapse_during_an_outage_ends_no_server_that_comes_back():
+    _, _, usable = follow(
+        [ServerSeen(server=a_server("a"))],
+        DOWN,
+        [ServerGone(id="a")],
+        [ServerSeen(server=a_server("a", sequence=2))],
+    )
+    assert usable == ["a"]
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -0,0 +1,321 @@
+"""What a request meets on its way to one server of each service."""
+
+import asyncio
+
+import pytest
+
+from auburnhollow.exceptions import (
+    BackendRejected,
+    BackendReplaced,
+    BackendUnreachable,
+    DeadlinePassed,
+    Ran,
+    Unavailable,
+)
+from auburnhollow_standins.fake_servers import (
+    CENTRES,
+    CUT,
+    HOME,
+    REFUSED,
+    RelayBed,
+    a_request,
+    a_route,
+)
+from auburnhollow_standins.virtual import run_virtually
+
+SHARDS = ("s0", "s1", "s2", "s3")
+
+
+def bed_of(shards=SHARDS, **options):
+    return RelayBed(dict.fromkeys(shards, CENTRES), **options)
+
+
+def test_all_shards_are_asked_once_and_merged():
+    async def play():
+        bed = bed_of()
+        merged = await bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS))
+        return bed, merged
+
+    bed, merged = run_virtually(play())
+    assert sorted(bed.servers.asked()) == ["s0-0", "s1-0", "s2-0", "s3-0"]
+    assert merged.missing == 0
+    assert merged.body == b"s3-0............s2-0............s1-0............"
+    assert merged.signatures == [f"signed-{shard}-0" for shard in SHARDS]
+
+
+def test_a_late_shard_is_asked_of_another_server():
+    async def play():
+        bed = bed_of()
+        bed.allow_repeats(*SHARDS)
+        bed.servers.behaviour["s1-0"] = 900.0
+        started_ms = bed.clock.now_ms()
+        merged = await bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS))
+        return bed, merged, bed.clock.now_ms() - started_ms
+
+    bed, merged, took_ms = run_virtually(play())
+    assert merged.missing == 0
+    assert [name for name in bed.servers.asked() if name.startswith("s1")][0] == "s1-0"
+    assert len(bed.servers.calls) == 5
+    assert took_ms < 200.0
+
+
+def test_a_server_with_a_late_call_gets_no_new_calls_until_it_answers():
+    async def play():
+        bed = bed_of()
+        bed.allow_repeats(*SHARDS)
+        route = a_route(SHARDS)
+        for number in range(30):
+            await bed.dispatcher.gather(a_request(bed.clock, f"w-{number}"), route)
+        bed.servers.behaviour["s1-0"] = 300.0
+        await bed.dispatcher.gather(a_request(bed.clock, "late"), route)
+        del bed.servers.calls[:]
+        await bed.dispatcher.gather(a_request(bed.clock, "next"), route)
+        during = [name for name in bed.servers.asked() if name.startswith("s1")]
+        bed.servers.behaviour.clear()
+        await bed.clock.sleep(400)
+        del bed.servers.calls[:]
+        await bed.dispatcher.gather(a_request(bed.clock, "after"), route)
+        return during, [name for name in bed.servers.asked() if name.startswith("s1")]
+
+    during, after = run_virtually(play())
+    assert "s1-0" not in during
+    assert after == ["s1-0"]
+
+
+def test_no_repeat_beyond_the_budget():
+    async def play():
+        bed = bed_of(retry_ratio=0.1)
+        route = a_route(SHARDS)
+        bed.servers.behaviour["s1-0"] = 900.0
+        bed.servers.behaviour["s1-1"] = 900.0
+        bed.servers.behaviour["s1-2"] = 900.0
+        calls = []
+        for number in range(40):
+            request = a_request(bed.clock, f"r-{number}")
+            calls.append(asyncio.create_task(bed.dispatcher.gather(request, route)))
+            await bed.clock.sleep(5)
+        await asyncio.gather(*calls)
+        return [name for name in bed.servers.asked() if name.startswith("s1")]
+
+    assert len(run_virtually(play())) <= 40 * 1.1
+
+
+def test_parts_that_are_in_by_the_objective_are_the_answer():
+    async def play():
+        bed = bed_of()
+        for number in range(3):
+            bed.servers.behaviour[f"s1-{number}"] = 900.0
+        started_ms = bed.clock.now_ms()
+        merged = await bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS))
+        return merged, bed.clock.now_ms() - started_ms
+
+    merged, took_ms = run_virtually(play())
+    assert merged.missing == 1
+    assert len(merged.signatures) == 3
+    assert 150.0 <= took_ms <= 200.0
+
+
+def test_below_the_least_share_a_late_answer_is_waited_for():
+    async def play():
+        bed = bed_of()
+        for shard in ("s1", "s2"):
+            for number in range(3):
+                bed.servers.behaviour[f"{shard}-{number}"] = 400.0
+        return await bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS))
+
+    assert run_virtually(play()).missing == 0
+
+
+def test_out_of_time_is_said_when_the_caller_stops_waiting():
+    async def play():
+        bed = bed_of()
+        for shard in ("s1", "s2"):
+            for number in range(3):
+                bed.servers.behaviour[f"{shard}-{number}"] = 5_000.0
+        with pytest.raises(DeadlinePassed) as caught:
+            await bed.dispatcher.gather(a_request(bed.clock, remaining_ms=700.0), a_route(SHARDS))
+        await bed.clock.sleep(1)
+        return bed, caught.value, bed.clock.now_ms()
+
+    bed, error, now_ms = run_virtually(play())
+    assert error.ran is Ran.UNKNOWN
+    assert now_ms < 710.0
+    assert {"s1-0", "s2-0"} <= set(bed.servers.ended)
+
+
+def test_too_few_shards_with_servers_are_rejected_before_anything_is_sent():
+    async def play():
+        bed = RelayBed({"s0": CENTRES, "s1": CENTRES, "s2": (), "s3": ()})
+        with pytest.raises(Unavailable) as caught:
+            await bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS))
+        return bed, caught.value
+
+    bed, error = run_virtually(play())
+    assert bed.servers.calls == []
+    assert error.ran is Ran.NO
+    assert error.retry_after_ms > 0
+
+
+def test_a_shard_without_servers_is_missing_and_not_waited_for():
+    async def play():
+        bed = RelayBed({"s0": CENTRES, "s1": CENTRES, "s2": CENTRES, "s3": ()})
+        started_ms = bed.clock.now_ms()
+        merged = await bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS))
+        return merged, bed.clock.now_ms() - started_ms
+
+    merged, took_ms = run_virtually(play())
+    assert merged.missing == 1
+    assert took_ms < 60.0
+
+
+def test_a_request_that_may_not_repeat_is_sent_once_when_its_answer_is_lost():
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        for number in range(3):
+            bed.servers.behaviour[f"search-{number}"] = CUT
+        route = a_route(repeatable=False)
+        with pytest.raises(BackendRejected) as caught:
+            await bed.dispatcher.pass_on(a_request(bed.clock), route, "search")
+        return bed, caught.value
+
+    bed, error = run_virtually(play())
+    assert len(bed.servers.calls) == 1
+    assert error.ran is Ran.UNKNOWN
+
+
+def test_a_request_that_may_not_repeat_gets_no_hedge():
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        bed.servers.behaviour["search-0"] = 900.0
+        route = a_route(repeatable=False)
+        await bed.dispatcher.pass_on(a_request(bed.clock), route, "search")
+        return bed
+
+    assert len(run_virtually(play()).servers.calls) == 1
+
+
+@pytest.mark.parametrize(
+    "error", [REFUSED, BackendUnreachable("no connection"), BackendReplaced("moved")]
+)
+def test_what_has_not_run_is_sent_to_another_server(error):
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        bed.servers.behaviour["search-0"] = error
+        route = a_route(repeatable=False)
+        answer = await bed.dispatcher.pass_on(a_request(bed.clock), route, "search")
+        return bed, answer
+
+    bed, answer = run_virtually(play())
+    assert bed.servers.asked()[0] == "search-0"
+    assert answer.signature != "signed-search-0"
+
+
+def test_what_no_server_has_run_is_said_not_to_have_run():
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        for number in range(3):
+            bed.servers.behaviour[f"search-{number}"] = REFUSED
+        with pytest.raises(Unavailable) as caught:
+            await bed.dispatcher.pass_on(a_request(bed.clock), a_route(), "search")
+        return caught.value
+
+    error = run_virtually(play())
+    assert error.ran is Ran.NO
+    assert error.retry_after_ms > 0
+
+
+def test_a_server_of_another_address_owner_is_not_asked_again():
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        bed.servers.behaviour["search-0"] = BackendReplaced("moved")
+        await bed.dispatcher.pass_on(a_request(bed.clock), a_route(), "search")
+        return [server.id for server in bed.registry.usable("search")]
+
+    assert run_virtually(play()) == ["search-1", "search-2"]
+
+
+def test_a_servers_own_failure_is_passed_on_when_attempts_are_used_up():
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        for number in range(3):
+            bed.servers.behaviour[f"search-{number}"] = 500
+        answer = await bed.dispatcher.pass_on(a_request(bed.clock), a_route(), "search")
+        return bed, answer
+
+    bed, answer = run_virtually(play())
+    assert answer.status == 500
+    assert len(bed.servers.calls) == 2
+
+
+def test_a_rejection_by_the_server_is_an_answer():
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.servers.behaviour["search-0"] = 404
+        return bed, await bed.dispatcher.pass_on(a_request(bed.clock), a_route(), "search")
+
+    bed, answer = run_virtually(play())
+    assert answer.status == 404
+    assert len(bed.servers.calls) == 1
+
+
+def test_work_ends_when_the_caller_leaves():
+    async def play():
+        bed = bed_of(work_ms=300.0)
+        task = asyncio.create_task(
+            bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS, objective_ms=900.0))
+        )
+        await bed.clock.sleep(50)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await bed.clock.sleep(1)
+        return bed
+
+    bed = run_virtually(play())
+    assert len(bed.servers.ended) == len(bed.servers.calls)
+
+
+def test_attempts_bound_the_servers_of_each_shard():
+    async def play():
+        bed = bed_of()
+        bed.allow_repeats(*SHARDS)
+        for number in range(3):
+            bed.servers.behaviour[f"s1-{number}"] = CUT
+        route = a_route(SHARDS, attempts=2)
+        merged = await bed.dispatcher.gather(a_request(bed.clock), route)
+        return bed, merged
+
+    bed, merged = run_virtually(play())
+    assert merged.missing == 1
+    assert len([name for name in bed.servers.asked() if name.startswith("s1")]) == 2
+
+
+def test_failed_shards_below_the_least_share_end_the_request_at_once():
+    async def play():
+        bed = bed_of()
+        bed.allow_repeats(*SHARDS)
+        for shard in ("s1", "s2"):
+            for number in range(3):
+                bed.servers.behaviour[f"{shard}-{number}"] = CUT
+        with pytest.raises(BackendRejected):
+            await bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS))
+        return bed.clock.now_ms()
+
+    assert run_virtually(play()) < 100.0
+
+
+def test_a_server_that_fails_in_a_row_is_passed_over():
+    async def play():
+        bed = RelayBed({"search": (HOME, HOME, HOME)})
+        bed.allow_repeats("search")
+        bed.servers.behaviour["search-1"] = CUT
+        for number in range(40):
+            await bed.dispatcher.pass_on(a_request(bed.clock, f"r-{number}"), a_route(), "search")
+        return bed.servers.asked().count("search-1")
+
+    assert run_virtually(play()) <= 6
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_parts.py
@@ -0,0 +1,149 @@
+"""The small parts of the relay."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from auburnhollow.clock import ManualClock
+from auburnhollow.relay.choice import Choice
+from auburnhollow.relay.dispatcher import least_shards
+from auburnhollow.relay.latency import ENOUGH, SAMPLES, LatencyWindow
+from auburnhollow.relay.merge import merge
+from auburnhollow.relay.routetimes import RouteTimes
+from auburnhollow.relay.views import ServerView
+from auburnhollow_standins.fake_servers import HOME, REGIONS, a_route, a_server
+
+WORK_MS = 30.0
+
+
+@given(st.lists(st.binary(max_size=200), max_size=6), st.integers(0, 20))
+def test_merge_takes_the_greatest_whole_records(bodies, most):
+    records = []
+    for body in bodies:
+        records += [body[at : at + 16] for at in range(0, len(body), 16)]
+    whole = sorted((record for record in records if len(record) == 16), reverse=True)
+    assert merge(bodies, most) == b"".join(whole[:most])
+
+
+def test_equal_records_all_count():
+    assert merge([b"a" * 16, b"a" * 16], 2) == b"a" * 32
+
+
+def test_least_shards_keeps_to_the_share():
+    assert least_shards(a_route(tuple("abcdefghij"), least_share=0.89)) == 9
+    assert least_shards(a_route(tuple("abcdefghij"), least_share=0.75)) == 8
+    assert least_shards(a_route(tuple("abcdefghij"), least_share=1.0)) == 10
+    assert least_shards(a_route(tuple("abcdefghij"), least_share=0.0)) == 1
+
+
+def test_quantiles_are_those_of_the_newest_samples():
+    window = LatencyWindow(first=7.0)
+    assert window.quantile(0.5) == 7.0
+    for sample in range(ENOUGH):
+        window.observe(float(sample))
+    assert window.quantile(0.5) == ENOUGH / 2
+    for _ in range(SAMPLES):
+        window.observe(100.0)
+    assert window.quantile(0.0) == 100.0
+
+
+def test_a_call_is_late_beyond_what_nearly_all_take():
+    times = RouteTimes(objective_ms=300.0)
+    rng = random.Random(3)
+    for _ in range(SAMPLES):
+        times.observe(30.0 * rng.lognormvariate(0, 0.35), 1.0)
+    late_ms = times.late_after_ms(distance_ms=10.0, speed=1.0)
+    assert 10.0 + 30.0 * 1.3 <= late_ms <= 10.0 + 30.0 * 2.2
+
+
+def choice_of(clock, seed=1):
+    return Choice(HOME, REGIONS, clock, random.Random(seed))
+
+
+def test_the_own_data_centre_comes_first():
+    choice = choice_of(ManualClock())
+    servers = [a_server("far", data_centre="iasi"), a_server("near")]
+    assert choice.choose(servers, WORK_MS).id == "near"
+
+
+def test_a_full_server_is_left_to_others():
+    clock = ManualClock()
+    choice = choice_of(clock)
+    near = a_server("near")
+    servers = [a_server("far", data_centre="iasi"), near]
+    for number in range(near.slots * 2):
+        choice.view(near).began(number, clock.now_ms())
+    assert choice.choose(servers, WORK_MS).id == "far"
+
+
+def test_a_slow_server_is_left_alone_and_tried_again_later():
+    clock = ManualClock()
+    choice = choice_of(clock)
+    near = a_server("near")
+    servers = [a_server("far", data_centre="iasi"), near]
+    view = choice.view(near)
+    for number in range(6):
+        view.began(number, clock.now_ms())
+        clock.advance(300.0)
+        view.answered(number, 10.0, None, clock.now_ms())
+    assert choice.choose(servers, WORK_MS).id == "far"
+    clock.advance(30_000.0)
+    assert choice.choose(servers, WORK_MS).id == "near"
+
+
+def test_one_pause_does_not_make_a_server_slow():
+    clock = ManualClock()
+    choice = choice_of(clock)
+    near = a_server("near")
+    servers = [a_server("far", data_centre="iasi"), near]
+    view = choice.view(near)
+    for number in range(4):
+        view.began(number, clock.now_ms())
+    clock.advance(300.0)
+    for number in range(4):
+        view.answered(number, 9.0, None, clock.now_ms())
+    assert choice.choose(servers, WORK_MS).id == "near"
+
+
+def test_a_failing_server_comes_last_but_is_better_than_none():
+    clock = ManualClock()
+    choice = choice_of(clock)
+    near = a_server("near")
+    far = a_server("far", data_centre="iasi")
+    for number in range(2):
+        choice.view(near).began(number, clock.now_ms())
+        choice.view(near).failed(number, clock.now_ms())
+    assert choice.choose([near, far], WORK_MS).id == "far"
+    assert choice.choose([near], WORK_MS).id == "near"
+    clock.advance(1_000.0)
+    assert choice.choose([near, far], WORK_MS).id == "near"
+
+
+def test_a_restart_under_the_same_id_is_another_server():
+    clock = ManualClock()
+    choice = choice_of(clock)
+    before = a_server("near", started_ms=1)
+    for number in range(2):
+        choice.view(before).began(number, clock.now_ms())
+        choice.view(before).failed(number, clock.now_ms())
+    after = a_server("near", started_ms=2)
+    assert not choice.view(after).is_ejected(clock.now_ms())
+
+
+def test_ejections_grow_and_end_with_an_answer():
+    clock = ManualClock()
+    view = ServerView(a_server("near"), clock.now_ms())
+    durations = []
+    for number in range(8):
+        view.began(number, clock.now_ms())
+        duration_ms = view.failed(number, clock.now_ms())
+        if duration_ms:
+            durations.append(duration_ms)
+            clock.advance(duration_ms + 1)
+    assert durations == sorted(durations)
+    assert len(durations) > 2
+    view.began("good", clock.now_ms())
+    view.answered("good", 1.0, None, clock.now_ms())
+    view.began("bad", clock.now_ms())
+    assert view.failed("bad", clock.now_ms()) == 0.0
--- a/packages/auburnhollow/src/auburnhollow/relay/views.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -4,7 +4,7 @@
 
 # One call may meet a pause or a long piece of work; it takes two to call a server slow.
 SPEED_STEP = 0.25
-SLOWEST_SAMPLE = 4.0
+SLOWEST_SAMPLE = 3.0
 FASTEST = 0.3
 SLOWEST = 12.0
 # A slow server is tried again after several seconds: slowness lasts seconds.
--- /dev/null
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -0,0 +1,150 @@
+"""Backend servers that requests are passed on to, as small fakes in virtual time."""
+
+import random
+
+from auburnhollow.exceptions import BackendCut, BackendRefused
+from auburnhollow.metrics import Metrics
+from auburnhollow.relay import Answer, Dispatcher, DispatchSettings, Request, ServerClient
+from auburnhollow.relay.choice import Choice
+from auburnhollow.routes import Branch, Route
+from auburnhollow.servers import Server, ServerRegistry, ServerState
+
+from .virtual import VirtualClock
+
+HOME = "cluj"
+REGIONS = {"cluj": "north", "iasi": "east", "ploiesti": "south"}
+CENTRES = tuple(REGIONS)
+
+
+def a_server(name, service="search", data_centre=HOME, **fields):
+    """Return a ready :class:`Server`."""
+    values = {
+        "id": name,
+        "service": service,
+        "address": f"{name}:80",
+        "data_centre": data_centre,
+        "slots": 4,
+        "state": ServerState.READY,
+        "warm_up_ms": 0,
+        "started_ms": 1,
+        "sequence": 1,
+    }
+    return Server(**{**values, **fields})
+
+
+def a_route(services=("search",), **fields):
+    """Return a :class:`Route` that asks all of ``services``, or just one if there is one."""
+    values = {
+        "name": "route",
+        "host": "example",
+        "prefix": "/",
+        "repeatable": True,
+        "attempts": 2,
+        "time_limit_ms": 1_000.0,
+        "objective_ms": 200.0,
+        "urgency": 1,
+        "branches": (Branch(service=services[0], weight=1),) if len(services) == 1 else (),
+        "shards": tuple(services) if len(services) > 1 else (),
+        "most_records": 3,
+        "least_share": 0.75,
+    }
+    return Route(**{**values, **fields})
+
+
+def a_request(clock, name="r-1", remaining_ms=1_000.0, **fields):
+    """Return a :class:`Request` that has just come."""
+    now_ms = clock.now_ms()
+    values = {
+        "id": name,
+        "method": "GET",
+        "host": "example",
+        "target": "/a?b=c",
+        "headers": [("host", "example")],
+        "body": b"",
+        "received_ms": now_ms,
+        "limit_ms": now_ms + remaining_ms,
+    }
+    return Request(**{**values, **fields})
+
+
+def an_answer(server, status=200):
+    """Return the answer that ``server`` gives."""
+    return Answer(
+        status=status,
+        headers=((b"x-from", server.id.encode()),),
+        body=server.id.encode().ljust(16, b".")[:16],
+        signature=f"signed-{server.id}",
+        load=None,
+    )
+
+
+class FakeServers(ServerClient):
+    """Servers that answer after ``work_ms``, or as ``behaviour`` says for their id.
+
+    A behaviour is a number of milliseconds, a status, or an exception to raise after the work;
+    ``calls`` lists ``(time, server id, request id)``, ``ended`` the ids whose call was cancelled.
+    """
+
+    __slots__ = ("_clock", "behaviour", "calls", "ended", "work_ms")
+
+    def __init__(self, clock, work_ms=20.0):
+        self._clock = clock
+        self.work_ms = work_ms
+        self.behaviour = {}
+        self.calls = []
+        self.ended = []
+
+    async def send(self, server, request, remaining_ms):
+        """Answer as the server's behaviour says."""
+        self.calls.append((self._clock.now_ms(), server.id, request.id))
+        behaviour = self.behaviour.get(server.id, self.work_ms)
+        delay_ms = behaviour if isinstance(behaviour, float) else self.work_ms
+        try:
+            await self._clock.sleep(delay_ms)
+        finally:
+            if self._clock.now_ms() < self.calls[-1][0] + delay_ms:
+                self.ended.append(server.id)
+        if isinstance(behaviour, Exception):
+            raise behaviour
+        return an_answer(server, behaviour if isinstance(behaviour, int) else 200)
+
+    def asked(self):
+        """Return the ids of the servers in the order in which they were asked."""
+        return [name for _, name, _ in self.calls]
+
+
+class RelayBed:
+    """A dispatcher over fake servers.
+
+    :param replicas: dictionary of services to data centres of their servers.
+    """
+
+    __slots__ = ("clock", "dispatcher", "registry", "servers")
+
+    def __init__(self, replicas, retry_ratio=1.0, seed=1, work_ms=20.0):
+        self.clock = VirtualClock()
+        rng = random.Random(seed)
+        self.registry = ServerRegistry(self.clock)
+        self.servers = FakeServers(self.clock, work_ms)
+        for service, centres in replicas.items():
+            for number, centre in enumerate(centres):
+                self.registry.put(a_server(f"{service}-{number}", service, centre))
+        self.dispatcher = Dispatcher(
+            self.servers,
+            self.registry,
+            Choice(HOME, REGIONS, self.clock, rng),
+            self.clock,
+            rng,
+            Metrics(),
+            DispatchSettings(retry_ratio=retry_ratio, retry_window_ms=10_000.0),
+        )
+
+    def allow_repeats(self, *services, count=50):
+        """Let budgets allow repeats, as after ``count`` requests."""
+        for service in services:
+            for _ in range(count):
+                self.dispatcher.budget(service).count_request()
+
+
+REFUSED = BackendRefused("full", reason="overload")
+CUT = BackendCut("connection lost")
