Let nodes learn from each other while the store is away, and refuse requests that crash servers

Cause: a node that starts while the store refuses it knew nothing, and deaths under a request were known to one node only. Membership and gossip of the product are wired once for both nodes; a node asks others for routes and servers while the store gives no answer, and deaths spread as before.

--- /dev/null
+++ b/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
@@ -0,0 +1,40 @@
+"""What a node knows of the other nodes, and how it tells them things."""
+
+from auburnhollow.gossip import Push, Spreader, SyncAsk, Table
+from auburnhollow.gossip.messages import Fetch
+from auburnhollow.membership import Membership
+from auburnhollow.membership.messages import Ping, PingRequest
+
+URGENT_KINDS = ("configuration", "server", "death", "survived")
+
+
+class Fleet:
+    """Membership and gossip of one node.
+
+    :param me: the :class:`~auburnhollow.membership.Member` of this node.
+    :param peers: :class:`~auburnhollow.peers.Peers`.
+    """
+
+    __slots__ = ("membership", "spreader", "table")
+
+    def __init__(self, me, peers, clock, random, events, metrics):
+        self.table = Table(clock)
+        self.membership = Membership(me, self.table, peers, clock, random, events, metrics)
+        self.spreader = Spreader(
+            self.table,
+            peers,
+            me.address,
+            self.membership.targets,
+            random,
+            clock,
+            metrics,
+            urgent=URGENT_KINDS,
+        )
+
+    def answer_on(self, peer_server):
+        """Let ``peer_server`` answer the messages of the fleet."""
+        peer_server.on(Ping, self.membership.on_ping)
+        peer_server.on(PingRequest, self.membership.on_ping_request)
+        peer_server.on(Push, self.spreader.on_push)
+        peer_server.on(SyncAsk, self.spreader.on_sync_ask)
+        peer_server.on(Fetch, self.spreader.on_fetch)
--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -12,12 +12,9 @@
 from auburnhollow.drain.spread import LeavingSpread
 from auburnhollow.events import Recorder
 from auburnhollow.exceptions import PeerError, StoreError
-from auburnhollow.gossip import Push, Spreader, SyncAsk, Table
-from auburnhollow.gossip.messages import Fetch
 from auburnhollow.hashing import first_ranked
 from auburnhollow.limits import Gate, Shares
-from auburnhollow.membership import ALIVE, Member, Membership
-from auburnhollow.membership.messages import Ping, PingRequest
+from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
 from auburnhollow.once import (
     AttemptAsk,
@@ -38,10 +35,10 @@
 from auburnhollow.snapshots import Snapshots
 
 from . import status
+from .fleet import Fleet
 
 log = logging.getLogger("node")
 
-URGENT_KINDS = ("configuration", "server", "death", "survived")
 JOIN_EVERY_MS = 500.0
 LEAVE_PAUSE_MS = 300.0
 
@@ -67,6 +64,7 @@
         "configurations",
         "coordinator",
         "events",
+        "fleet",
         "instances",
         "is_stopping",
         "keeper",
@@ -186,20 +184,10 @@
             revision=0,
             ready=True,
         )
-        self.table = Table(self.clock)
-        self.membership = Membership(
-            me, self.table, self.peers, self.clock, seeded, self.events, self.metrics
-        )
-        self.spreader = Spreader(
-            self.table,
-            self.peers,
-            me.address,
-            self.membership.targets,
-            seeded,
-            self.clock,
-            self.metrics,
-            urgent=URGENT_KINDS,
-        )
+        self.fleet = Fleet(me, self.peers, self.clock, seeded, self.events, self.metrics)
+        self.table = self.fleet.table
+        self.membership = self.fleet.membership
+        self.spreader = self.fleet.spreader
 
     def _wire_tier(self, backends, seeded):
         settings = self.settings
@@ -257,12 +245,8 @@
         self.keeper.on_change(self._forget_servers)
 
     def _wire_messages(self):
+        self.fleet.answer_on(self.peer_server)
         on = self.peer_server.on
-        on(Ping, self.membership.on_ping)
-        on(PingRequest, self.membership.on_ping_request)
-        on(Push, self.spreader.on_push)
-        on(SyncAsk, self.spreader.on_sync_ask)
-        on(Fetch, self.spreader.on_fetch)
         on(FetchConfiguration, self.configurations.on_fetch)
         on(RegionAsk, self.coordinator.answer_region)
         on(ClaimAsk, self.claimer.on_claim)
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/logs.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/logs.py
@@ -49,7 +49,7 @@
             "at_ms": int(record.created * 1000),
             "node": self._node,
             "level": record.levelname.lower(),
-            "text": f"{record.name}: {record.getMessage()}",
+            "text": _prefixed(record.name, record.getMessage()),
         }
         request = getattr(record, "request", None)
         if request is not None:
@@ -73,6 +73,11 @@
         self._dropped += 1
 
 
+def _prefixed(part, text):
+    """Return the text with the part that speaks in front, once."""
+    return text if text.startswith(f"{part}:") else f"{part}: {text}"
+
+
 def set_up_logs(settings):
     """Send all logs of this process to its standard output."""
     root = logging.getLogger()
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -93,7 +93,7 @@
 async def listening(node, front, inner):
     """Serve callers, and the balancer's and operators' questions, for the length of the block."""
     settings = node.settings
-    node.start()
+    await node.start()
     front.idle_ms = lambda: node.routes.limits.idle_ms if node.routes else None
     await inner.listen(settings.ready)
     if settings.metrics_port:
@@ -118,6 +118,7 @@
     decide(log, "stopping", linger_ms=settings.linger_ms, in_progress=node.in_progress)
     started_ms = node.clock.now_ms()
     node.is_stopping = True
+    await node.leave()
     front.close_after_answers()
     with suppress(TimeoutError):
         async with node.clock.timeout(settings.linger_ms):
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -7,18 +7,30 @@
 
 from auburnhollow.clock import Clock
 from auburnhollow.decisions import decide
-from auburnhollow.exceptions import NoRoute, NotReady, QueryError, TooLarge
-from auburnhollow.follow import Follower
+from auburnhollow.events import Recorder
+from auburnhollow.exceptions import NoRoute, NotReady, PeerError, QueryError, TooLarge
+from auburnhollow.follow import Follower, Neighbours
+from auburnhollow.follow.messages import KnownAsk
+from auburnhollow.hashing import first_ranked
+from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
+from auburnhollow.peers import PeerLink, PeerServer
+from auburnhollow.quarantine import Quarantine
+from auburnhollow.quarantine.spread import DeathSpread
 from auburnhollow.relay import Dispatcher, DispatchSettings
 from auburnhollow.relay.choice import Choice
 from auburnhollow.relay.fanout import ANSWER_MS
 from auburnhollow.retry import spread_ms
 from auburnhollow.servers import ServerRegistry
 
+from ..fleet import Fleet
+
 log = logging.getLogger("node")
 
 NOT_READY_RETRY_MS = 300.0
+JOIN_EVERY_MS = 1_000.0
+# Alone in the fleet, a node looks for the others again: they may all have been replaced.
+LOOK_EVERY_MS = 5_000.0
 
 
 class RelayNode:
@@ -38,9 +50,14 @@
         "_tasks",
         "clock",
         "dispatcher",
+        "events",
+        "fleet",
         "follower",
         "is_stopping",
         "metrics",
+        "peer_server",
+        "peers",
+        "quarantine",
         "registry",
         "settings",
     )
@@ -54,6 +71,7 @@
         self._tasks = []
         self._in_progress = 0
         self.registry = ServerRegistry(self.clock)
+        self._wire_fleet()
         self.dispatcher = Dispatcher(
             client,
             self.registry,
@@ -61,13 +79,15 @@
             self.clock,
             self._random,
             self.metrics,
+            self.quarantine,
             DispatchSettings(
                 retry_ratio=settings.retry_ratio, retry_window_ms=settings.retry_window_ms
             ),
         )
-        self.follower = Follower(
-            feed, self.registry, self.clock, self._random, self.dispatcher.forget
-        )
+        self.follower = Follower(feed, self.registry, self.clock, self._random, self._take_routes)
+        neighbours = Neighbours(self.follower, self.peers, self._other_nodes, self._random)
+        self.follower.ask_others = neighbours.ask
+        self.peer_server.on(KnownAsk, neighbours.answer)
 
     @property
     def routes(self):
@@ -84,16 +104,33 @@
         """How many requests are being answered."""
         return self._in_progress
 
-    def start(self):
-        """Begin to follow the store."""
-        self._tasks.append(asyncio.get_running_loop().create_task(self.follower.run()))
+    async def start(self):
+        """Join the fleet and begin to follow the store."""
+        loop = asyncio.get_running_loop()
+        self._tasks.append(loop.create_task(self.follower.run()))
+        if not self.settings.peer:
+            return
+        host, _, port = self.settings.peer.rpartition(":")
+        await self.peer_server.start(host, int(port))
+        membership = self.fleet.membership
+        membership.join(self.fleet.spreader)
+        for work in (self.fleet.spreader.run(), membership.run(), self._join()):
+            self._tasks.append(loop.create_task(work))
+
+    async def leave(self):
+        """Tell the other nodes that this one ends."""
+        if self.settings.peer:
+            self.fleet.membership.leave()
+            self.fleet.spreader.push_now()
 
     async def stop(self):
-        """End all tasks."""
+        """End all tasks and connections to other nodes."""
         tasks, self._tasks = self._tasks, []
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self.peer_server.close()
+        await self.peers.close()
 
     async def handle(self, request):
         """Answer one request.
@@ -119,6 +156,52 @@
         self.metrics.incr("front.answered")
         return answer
 
+    def _wire_fleet(self):
+        settings = self.settings
+        self.events = Recorder(settings.id, self.clock)
+        self.peers = PeerLink(self.metrics, self.clock)
+        self.peer_server = PeerServer(self.metrics)
+        me = Member(
+            id=settings.id,
+            address=settings.peer,
+            data_centre=settings.data_centre,
+            state=ALIVE,
+            incarnation=self.clock.wall_ms(),
+            revision=0,
+            ready=True,
+        )
+        self.fleet = Fleet(me, self.peers, self.clock, self._random, self.events, self.metrics)
+        self.fleet.answer_on(self.peer_server)
+        self.quarantine = Quarantine(
+            self.clock, self.events, self._random, may_probe=self._ranks_first_for
+        )
+        DeathSpread(self.quarantine, self.fleet.spreader, self.fleet.table, self.clock)
+
+    async def _join(self):
+        """Meet the nodes that the settings name, and look again while there is no other."""
+        while True:
+            for address in self._seeds():
+                try:
+                    await self.fleet.membership.contact(address)
+                except PeerError as error:
+                    decide(log, "seed does not answer", seed=address, error=str(error))
+                    continue
+                break
+            alone = len(self.fleet.membership.present()) == 1
+            await self.clock.sleep(JOIN_EVERY_MS if alone else LOOK_EVERY_MS)
+
+    def _seeds(self):
+        return [address for address in self.settings.seeds if address != self.settings.peer]
+
+    def _other_nodes(self):
+        return self.fleet.membership.targets() or self._seeds()
+
+    def _ranks_first_for(self, fingerprint):
+        return first_ranked(fingerprint, self.fleet.membership.present()) == self.settings.id
+
+    def _take_routes(self, table):
+        self.dispatcher.forget(table)
+
     def _route(self, request):
         table = self.routes
         if table is None:
--- a/packages/auburnhollow/src/auburnhollow/backends/client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/client.py
@@ -19,6 +19,7 @@
     BackendUnreachable,
 )
 from .messages import OrderCall, ShardCall, read_order_answer, read_shard_answer
+from .probe import takes_connections
 
 CONNECT_TIMEOUT_MS = 1_000
 PROBE_TIMEOUT_MS = 200
@@ -114,14 +115,9 @@
 
     async def _lost(self, server, error):
         """Tell a dead server from a cut connection: only a dead one takes no new connection."""
-        host, _, port = server.address.rpartition(":")
-        try:
-            async with self._clock.timeout(PROBE_TIMEOUT_MS):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return BackendDied(f"{server.id}: died under the request: {error!r}")
-        writer.close()
-        return BackendCut(f"{server.id}: connection lost: {error!r}")
+        if await takes_connections(self._clock, server.address, PROBE_TIMEOUT_MS):
+            return BackendCut(f"{server.id}: connection lost: {error!r}")
+        return BackendDied(f"{server.id}: died under the request: {error!r}")
 
     def _pool(self, address):
         pool = self._pools.get(address)
--- a/packages/auburnhollow/src/auburnhollow/follow/__init__.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/__init__.py
@@ -10,12 +10,14 @@
     UnreadableEntry,
 )
 from .follower import Follower
+from .neighbours import Neighbours
 
 __all__ = [
     "ConfigurationSeen",
     "Feed",
     "Follower",
     "HistoryLost",
+    "Neighbours",
     "ServerGone",
     "ServerSeen",
     "StoreView",
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -51,6 +51,9 @@
     :param on_routes: function that is called with each newer
         :class:`~auburnhollow.routes.RouteTable`.
 
+    ``ask_others`` is a coroutine function that is called while the store can't be reached, to learn
+    from other nodes.
+
     >>> follower = Follower(feed, registry, clock, random)
     >>> task = asyncio.create_task(follower.run())
     """
@@ -63,6 +66,7 @@
         "_revision",
         "_routes",
         "_seen_ms",
+        "ask_others",
         "on_routes",
         "registry",
     )
@@ -76,6 +80,7 @@
         self._routes = None
         self._seen_ms = None
         self.registry = registry
+        self.ask_others = None
         self.on_routes = on_routes
 
     @property
@@ -124,6 +129,8 @@
                 pause_ms = FIRST_PAUSE_MS
             except StoreUnavailable as error:
                 self._lost(error)
+                if self.ask_others is not None:
+                    await self.ask_others()
                 await self._clock.sleep(pause_ms * (0.5 + self._random.random()))
                 pause_ms = min(LONGEST_PAUSE_MS, pause_ms * 2)
 
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -31,6 +31,7 @@
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param random: a :class:`random.Random`.
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
+    :param quarantine: :class:`~auburnhollow.quarantine.Quarantine`.
     :param settings: :class:`DispatchSettings`.
 
     >>> merged = await dispatcher.gather(request, route)
@@ -45,15 +46,17 @@
         "client",
         "clock",
         "metrics",
+        "quarantine",
         "registry",
     )
 
-    def __init__(self, client, registry, choice, clock, random, metrics, settings):
+    def __init__(self, client, registry, choice, clock, random, metrics, quarantine, settings):
         self.client = client
         self.registry = registry
         self.choice = choice
         self.clock = clock
         self.metrics = metrics
+        self.quarantine = quarantine
         self._random = random
         self._settings = settings
         self._budgets = {}
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -6,6 +6,7 @@
 from ..clock import MS_PER_SECOND
 from ..decisions import decide
 from ..exceptions import (
+    BackendDied,
     BackendError,
     BackendRefused,
     BackendRejected,
@@ -13,6 +14,7 @@
     DeadlinePassed,
     Ran,
 )
+from ..quarantine import fingerprint_of
 from .legs import Call, Leg
 
 log = logging.getLogger("relay")
@@ -44,11 +46,13 @@
         "_choice",
         "_clock",
         "_dispatcher",
+        "_fingerprint",
         "_in",
         "_least",
         "_legs",
         "_lingers",
         "_objective_ms",
+        "_quarantine",
         "_request",
         "_route",
         "_times",
@@ -62,6 +66,8 @@
         self._request = request
         self._route = route
         self._times = dispatcher.times(route)
+        self._quarantine = dispatcher.quarantine
+        self._fingerprint = fingerprint_of(route.name, request.identity)
         self._legs = [Leg(service) for service in services]
         self._least = least
         self._in = 0
@@ -75,6 +81,7 @@
         :raises QueryError: as soon as it is known that not enough will be.
         """
         try:
+            self._quarantine.check(self._fingerprint)
             self._refuse_hopeless()
             for leg in self._legs:
                 self._dispatcher.budget(leg.service).count_request()
@@ -138,6 +145,7 @@
     async def _call(self, call, remaining_ms):
         """Make one call and note what came of it."""
         leg = call.leg
+        self._quarantine.started(call.server.id, self._fingerprint)
         try:
             answer = await self._dispatcher.client.send(call.server, self._request, remaining_ms)
         except BackendError as error:
@@ -148,6 +156,7 @@
         else:
             self._take_answer(call, answer)
         finally:
+            self._quarantine.ended(call.server.id, self._fingerprint)
             leg.calls.remove(call)
             if leg.answer is None:
                 self._repeat_failed(leg)
@@ -171,6 +180,8 @@
         if answer.is_success:
             leg.answer = answer
             self._in += 1
+            if self._in == 1:
+                self._quarantine.answered(self._fingerprint, leg.service)
             return
         leg.error = answer
         if self._route.shards or (answer.status >= 500 and self._may_repeat(leg)):
@@ -191,6 +202,8 @@
         elif isinstance(error, BackendRefused):
             view.shed(call, call.server.slots, now_ms)
         else:
+            if isinstance(error, BackendDied):
+                self._quarantine.died(call.server.id, leg.service, self._fingerprint)
             self._note_failure(view, call, now_ms)
         leg.error = error
 
@@ -208,6 +221,9 @@
     def _may_repeat(self, leg):
         """Return whether the leg may be sent once more, its budget left out."""
         error = leg.error
+        if self._quarantine.is_suspect(self._fingerprint):
+            # What crashes servers must not be given another one.
+            return False
         if not self._route.repeatable and getattr(error, "ran", Ran.YES) is not Ran.NO:
             return False
         if leg.run >= self._route.attempts or leg.sent >= self._route.attempts + REFUSED_SENDS:
@@ -242,6 +258,8 @@
                 self._choice.view(call.server).late(now_ms)
             if not self._route.repeatable or leg.run >= self._route.attempts:
                 continue
+            if self._quarantine.is_suspect(self._fingerprint):
+                continue
             if not self._try_repeat(leg, "hedge sent"):
                 leg.hedge_ms = now_ms + HEDGE_AGAIN_MS
 
--- a/packages/auburnhollow/src/auburnhollow/relay/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/messages.py
@@ -6,12 +6,28 @@
 class Request(Record):
     """A caller's request; method, target, headers and body go on as they came.
 
-    ``target`` is the path with the query, as sent; ``headers`` are pairs of bytes without those
-    that concern one connection only. ``received_ms`` and ``limit_ms`` are times of the node's
-    clock: when the request came, and when its caller stops waiting for the answer.
+    ``target`` is the path with the query, as sent; ``headers`` are pairs of text without those
+    that concern one connection only. ``caller`` tells callers apart. ``received_ms`` and
+    ``limit_ms`` are times of the node's clock: when the request came, and when its caller stops
+    waiting for the answer.
     """
 
-    __slots__ = ("id", "method", "host", "target", "headers", "body", "received_ms", "limit_ms")
+    __slots__ = (
+        "id",
+        "caller",
+        "method",
+        "host",
+        "target",
+        "headers",
+        "body",
+        "received_ms",
+        "limit_ms",
+    )
+
+    @property
+    def identity(self):
+        """What is the same when the caller sends the request again under another id."""
+        return [self.caller, self.method, self.host, self.target, self.body.hex()]
 
     @property
     def path(self):
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -5,10 +5,13 @@
 import pytest
 
 from auburnhollow.exceptions import (
+    BackendDied,
     BackendRejected,
     BackendReplaced,
     BackendUnreachable,
     DeadlinePassed,
+    Quarantined,
+    QueryError,
     Ran,
     Unavailable,
 )
@@ -319,3 +322,46 @@
         return bed.servers.asked().count("search-1")
 
     assert run_virtually(play()) <= 6
+
+
+def test_a_request_that_crashes_servers_gets_no_other_server_and_is_refused_afterwards():
+    async def play():
+        bed = bed_of()
+        bed.allow_repeats(*SHARDS)
+        for shard in SHARDS:
+            for number in range(3):
+                bed.servers.behaviour[f"{shard}-{number}"] = BackendDied("died")
+        errors = []
+        for name in ("r-1", "r-2"):
+            try:
+                await bed.dispatcher.gather(a_request(bed.clock, name), a_route(SHARDS))
+            except QueryError as error:
+                errors.append(type(error))
+        other = a_request(bed.clock, "r-3", target="/other")
+        bed.servers.behaviour.clear()
+        merged = await bed.dispatcher.gather(other, a_route(SHARDS))
+        return bed, errors, merged
+
+    bed, errors, merged = run_virtually(play())
+    asked = [call for call in bed.servers.calls if call[2] != "r-3"]
+    assert len(asked) <= len(SHARDS) + 1
+    assert errors == [BackendRejected, Quarantined]
+    assert merged.missing == 0
+
+
+def test_a_request_in_progress_when_servers_of_several_shards_crash_is_not_refused():
+    async def play():
+        bed = bed_of(("s0", "s1", "s2", "s3", "s4", "s5"))
+        shards = ("s0", "s1", "s2", "s3", "s4", "s5")
+        bed.allow_repeats(*shards)
+        bed.servers.behaviour["s1-0"] = BackendDied("died")
+        bed.servers.behaviour["s2-0"] = BackendDied("died")
+        route = a_route(shards, least_share=0.6)
+        first = await bed.dispatcher.gather(a_request(bed.clock, "r-1"), route)
+        bed.servers.behaviour.clear()
+        second = await bed.dispatcher.gather(a_request(bed.clock, "r-2"), route)
+        return first, second
+
+    first, second = run_virtually(play())
+    assert len(first.signatures) >= 4
+    assert second.missing == 0
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -2,8 +2,10 @@
 
 import random
 
+from auburnhollow.events import Recorder
 from auburnhollow.exceptions import BackendCut, BackendRefused
 from auburnhollow.metrics import Metrics
+from auburnhollow.quarantine import Quarantine
 from auburnhollow.relay import Answer, Dispatcher, DispatchSettings, Request, ServerClient
 from auburnhollow.relay.choice import Choice
 from auburnhollow.routes import Branch, Route
@@ -56,6 +58,7 @@
     now_ms = clock.now_ms()
     values = {
         "id": name,
+        "caller": "caller-1",
         "method": "GET",
         "host": "example",
         "target": "/a?b=c",
@@ -136,6 +139,7 @@
             self.clock,
             rng,
             Metrics(),
+            Quarantine(self.clock, Recorder("node-1", self.clock), rng),
             DispatchSettings(retry_ratio=retry_ratio, retry_window_ms=10_000.0),
         )
 
