Take changes of the store that come together in one call

A follower now pauses 300 ms after a change. The slice platform is named backing, since platform/ holds the adapter.

--- a/packages/auburnhollow-node/src/auburnhollow_node/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/main.py
@@ -10,9 +10,9 @@
 import fire
 
 from auburnhollow.backends import HttpBackendClient
+from auburnhollow.backing import HttpStore, InstanceList
 from auburnhollow.exceptions import SettingsError
 from auburnhollow.peers import PeerLink
-from auburnhollow.platform import HttpStore, InstanceList
 
 from .front import build_app
 from .logs import set_up_logs
--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -47,8 +47,8 @@
     """The parts of one node.
 
     :param settings: :class:`~auburnhollow_node.settings.Settings`.
-    :param store: :class:`~auburnhollow.platform.Store`.
-    :param instances: :class:`~auburnhollow.platform.InstanceList`.
+    :param store: :class:`~auburnhollow.backing.Store`.
+    :param instances: :class:`~auburnhollow.backing.InstanceList`.
     :param backends: :class:`~auburnhollow.backends.BackendClient`.
     :param make_peers: function of the metrics that returns :class:`~auburnhollow.peers.Peers`.
 
--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -9,6 +9,7 @@
 import aiohttp
 import orjson
 
+from auburnhollow.backing import HttpStore
 from auburnhollow.clock import Clock
 from auburnhollow.configuration import (
     Configuration,
@@ -27,7 +28,6 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from auburnhollow.platform import HttpStore
 
 from . import pictures, texts
 from .fleet import FleetView
--- a/packages/auburnhollow/src/auburnhollow/platform/tests/test_store.py
+++ b/packages/auburnhollow/src/auburnhollow/backing/tests/test_store.py
@@ -8,9 +8,9 @@
 import pytest
 from aiohttp import web
 
+from auburnhollow.backing import HttpStore, InstanceList, Store
+from auburnhollow.backing.store import settle_swap
 from auburnhollow.exceptions import StoreOutcomeUnknown, StoreUnavailable
-from auburnhollow.platform import HttpStore, InstanceList, Store
-from auburnhollow.platform.store import settle_swap
 from auburnhollow_standins.fake_platform import FakeStore, SharedStore
 from auburnhollow_standins.instances import InstancesStandin
 from auburnhollow_standins.store import StoreStandin
--- a/packages/auburnhollow/src/auburnhollow/configuration/repository.py
+++ b/packages/auburnhollow/src/auburnhollow/configuration/repository.py
@@ -1,8 +1,8 @@
 """Reading and changing the configuration in the platform's store."""
 
+from ..backing.store import ABSENT, settle_swap
 from ..clock import Clock
 from ..exceptions import ConfigurationError, ConflictError
-from ..platform.store import ABSENT, settle_swap
 from .check import check_document
 from .records import CURRENT_KEY, HISTORY_PREFIX, Stored, history_key, new_change_id
 
@@ -10,7 +10,7 @@
 class Repository:
     """The configuration in the store, with its history.
 
-    :param store: :class:`~auburnhollow.platform.Store`.
+    :param store: :class:`~auburnhollow.backing.Store`.
 
     >>> repository = Repository(store)
     >>> stored = await repository.change(document, base=41, author="ioana", note="add Iasi")
--- a/packages/auburnhollow/src/auburnhollow/configuration/spread.py
+++ b/packages/auburnhollow/src/auburnhollow/configuration/spread.py
@@ -31,7 +31,7 @@
     either costs a call or a second, never a revision, since every node takes only higher ones.
 
     :param keeper: :class:`Keeper`.
-    :param store: :class:`~auburnhollow.platform.Store`.
+    :param store: :class:`~auburnhollow.backing.Store`.
     :param membership: :class:`~auburnhollow.membership.Membership`.
     :param spreader: :class:`~auburnhollow.gossip.Spreader`.
     :param watchers: how many nodes watch the store.
--- a/packages/auburnhollow/src/auburnhollow/drain/spread.py
+++ b/packages/auburnhollow/src/auburnhollow/drain/spread.py
@@ -2,9 +2,9 @@
 
 import logging
 
+from ..backing.instances import LEAVING
 from ..exceptions import PeerError, StoreError
 from ..gossip import Fact
-from ..platform.instances import LEAVING
 
 log = logging.getLogger("drain")
 
@@ -21,7 +21,7 @@
     Only the nodes that watch the store read the list, so its use does not grow with the fleet.
 
     :param leaving: :class:`Leaving`.
-    :param instances: :class:`~auburnhollow.platform.InstanceList`.
+    :param instances: :class:`~auburnhollow.backing.InstanceList`.
     :param is_reader: function that tells whether this node reads the list now.
     """
 
--- a/packages/auburnhollow/src/auburnhollow/drain/tests/test_leaving.py
+++ b/packages/auburnhollow/src/auburnhollow/drain/tests/test_leaving.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from auburnhollow.backing import Instance
 from auburnhollow.clock import ManualClock
 from auburnhollow.drain import Leaving
 from auburnhollow.events import Recorder
-from auburnhollow.platform import Instance
 from auburnhollow_standins.virtual import run_virtually
 from auburnhollow_standins.virtual_fleet import document_of, search_of, virtual_fleet
 
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -11,6 +11,8 @@
 
 # A connection that has gone silent must be noticed well within the 3 s that a change may take.
 WAIT_MS = 5_000.0
+# Servers start and leave in groups: what changes within this time costs one call, not one each.
+COLLECT_MS = 300.0
 FIRST_PAUSE_MS = 100.0
 LONGEST_PAUSE_MS = 800.0
 
@@ -153,6 +155,10 @@
             self._reached()
             for statement in view.statements:
                 take(statement, self)
+            self._revision = view.revision
+            if view.statements:
+                await self._clock.sleep(COLLECT_MS)
+            return
         self._revision = view.revision
 
     def _take_all(self, view):
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
@@ -108,6 +108,40 @@
     assert len(feed.calls) <= 8
 
 
+def test_changes_that_come_together_cost_few_calls():
+    """Forty servers that start within two seconds."""
+
+    async def play():
+        clock = VirtualClock()
+        calls = []
+
+        class Starting(Feed):
+            async def read(self):
+                return StoreView(statements=[], revision=0)
+
+            async def changes(self, revision, wait_ms):
+                calls.append(clock.now_ms())
+                if revision >= 40:
+                    await clock.sleep(wait_ms)
+                    return StoreView(statements=[], revision=revision)
+                await clock.sleep(max(0.0, (revision + 1) * 50.0 - clock.now_ms()))
+                seen = range(revision, max(revision + 1, min(40, int(clock.now_ms() / 50.0))))
+                statements = [ServerSeen(server=a_server(f"i-{number}")) for number in seen]
+                return StoreView(statements=statements, revision=seen.stop)
+
+        registry = ServerRegistry(clock)
+        follower = Follower(Starting(), registry, clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await clock.sleep(2_500.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return len(calls), len(registry)
+
+    calls, servers = run_virtually(play())
+    assert servers == 40
+    assert calls <= 10
+
+
 def test_entries_that_cannot_be_read_name_nothing():
     follower, _, usable = follow(
         [UnreadableEntry(key="k", reason="x"), ServerSeen(server=a_server("a"))],
--- a/packages/auburnhollow/src/auburnhollow/once/ledger.py
+++ b/packages/auburnhollow/src/auburnhollow/once/ledger.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 
+from ..backing.store import settle_swap
 from ..exceptions import Overloaded, StoreError, StoreUnavailable
-from ..platform.store import settle_swap
 from ..records import Record
 from .claims import CLAIMED, VOID, Claim, ClaimRecord
 
@@ -165,7 +165,7 @@
 class Ledger:
     """All record writers of one node.
 
-    :param store: :class:`~auburnhollow.platform.Store`.
+    :param store: :class:`~auburnhollow.backing.Store`.
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
 
--- a/standins/src/auburnhollow_standins/fake_platform.py
+++ b/standins/src/auburnhollow_standins/fake_platform.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from auburnhollow.backing import InstanceList, KeyValue, Store
 from auburnhollow.exceptions import StoreOutcomeUnknown, StoreUnavailable
-from auburnhollow.platform import InstanceList, KeyValue, Store
 
 
 class Pausable:
--- a/standins/src/auburnhollow_standins/fleet.py
+++ b/standins/src/auburnhollow_standins/fleet.py
@@ -13,8 +13,8 @@
 import orjson
 from aiohttp import web
 
+from auburnhollow.backing.store import HttpStore
 from auburnhollow.configuration import Repository
-from auburnhollow.platform.store import HttpStore
 
 from .backend import BackendStandin, Behaviour
 from .instances import InstancesStandin
--- a/standins/src/auburnhollow_standins/virtual_fleet.py
+++ b/standins/src/auburnhollow_standins/virtual_fleet.py
@@ -4,11 +4,11 @@
 import random
 from contextlib import asynccontextmanager
 
+from auburnhollow.backing import Instance
 from auburnhollow.configuration import Repository
 from auburnhollow.identifiers import new_id
 from auburnhollow.limits import INTERACTIVE, URGENT
 from auburnhollow.once import Order
-from auburnhollow.platform import Instance
 from auburnhollow.scatter import Search
 from auburnhollow_node.node import Node
 from auburnhollow_node.settings import DEFAULTS, Settings
