--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -146,4 +146,6 @@
         sys.exit(EXIT_SETTINGS)
     set_up_logs(settings)
     gc.set_threshold(GC_THRESHOLD, 20, 100)
+    gc.freeze()
+    gc.enable()
     uvloop.run(serve(settings, path))
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -29,6 +29,8 @@
 
 NOT_READY_RETRY_MS = 300.0
 JOIN_EVERY_MS = 1_000.0
+# The store answers in milliseconds; a request that comes before its first answer waits for it.
+FIRST_READ_MS = 400.0
 # Alone in the fleet, a node looks for the others again: they may all have been replaced.
 LOOK_EVERY_MS = 5_000.0
 
@@ -142,6 +144,8 @@
         self._in_progress += 1
         route = None
         try:
+            if self.routes is None:
+                await self._wait_first_read(request)
             route = self._route(request)
             answer = await self._dispatch(request, route)
         except QueryError as error:
@@ -202,6 +206,15 @@
     def _take_routes(self, table):
         self.dispatcher.forget(table)
 
+    async def _wait_first_read(self, request):
+        """Let a request wait for the store's first answer, if one can come soon."""
+        remaining_ms = request.limit_ms - self.clock.now_ms()
+        try:
+            async with self.clock.timeout(min(FIRST_READ_MS, remaining_ms / 3)):
+                await self.follower.first_answer.wait()
+        except TimeoutError:
+            return
+
     def _route(self, request):
         table = self.routes
         if table is None:
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -1,5 +1,6 @@
 """Keeps the routes and the backend servers as the platform's store has them."""
 
+import asyncio
 import logging
 from functools import singledispatch
 
@@ -53,6 +54,7 @@
     :param on_routes: function that is called with each newer
         :class:`~auburnhollow.routes.RouteTable`.
 
+    ``first_answer`` is an event that is set once the first read has ended, well or not.
     ``ask_others`` is a coroutine function that is called while the store can't be reached, to learn
     from other nodes.
 
@@ -69,6 +71,7 @@
         "_routes",
         "_seen_ms",
         "ask_others",
+        "first_answer",
         "on_routes",
         "registry",
     )
@@ -83,6 +86,7 @@
         self._seen_ms = None
         self.registry = registry
         self.ask_others = None
+        self.first_answer = asyncio.Event()
         self.on_routes = on_routes
 
     @property
@@ -133,6 +137,7 @@
                 self._lost(error)
                 if self.ask_others is not None:
                     await self.ask_others()
+                self.first_answer.set()
                 await self._clock.sleep(pause_ms * (0.5 + self._random.random()))
                 pause_ms = min(LONGEST_PAUSE_MS, pause_ms * 2)
 
@@ -160,6 +165,7 @@
                 await self._clock.sleep(COLLECT_MS)
             return
         self._revision = view.revision
+        self.first_answer.set()
 
     def _take_all(self, view):
         servers = []
