Listen before anything else is loaded

Cause: callers who came while a fresh node imported its libraries found no listener and spent their retry on that. The package no longer imports the callers' side.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/__main__.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/__main__.py
@@ -1,11 +1,38 @@
 """Run a node that passes requests on: ``python -m auburnhollow_node.relay SETTINGS``."""
 
 import gc
+import sys
 
-# Nothing that is made during the imports is garbage.
-gc.disable()
+from auburnhollow.exceptions import SettingsError
+
+from .settings import load_settings
+from .sockets import Sockets
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+
+
+def main():
+    """Run the program."""
+    if len(sys.argv) != 2:
+        sys.exit("usage: python -m auburnhollow_node.relay SETTINGS")
+    path = sys.argv[1]
+    try:
+        settings = load_settings(path)
+        sockets = Sockets(settings)
+    except SettingsError as error:
+        for finding in error.findings:
+            print(f"{path}: {finding}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    except OSError as error:
+        print(f"{path}: an address can't be listened on: {error}", file=sys.stderr)
+        sys.exit(EXIT_ADDRESS)
+    # Nothing that is made during the imports is garbage.
+    gc.disable()
+    from .main import run
+
+    run(settings, path, sockets)
 
-from .main import main  # noqa: E402
 
 if __name__ == "__main__":
     main()
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -5,45 +5,25 @@
 import importlib
 import logging
 import signal
-import sys
 from contextlib import asynccontextmanager, suppress
 
-import orjson
 import uvloop
 
 from auburnhollow.decisions import decide
-from auburnhollow.exceptions import Finding, SettingsError
+from auburnhollow.exceptions import SettingsError
 
 from .logs import set_up_logs
 from .node import RelayNode
 from .server import PassingServer
-from .settings import build_settings
+from .settings import load_settings
 
 log = logging.getLogger("node")
 
-EXIT_SETTINGS = 2
 DRAIN_POLL_MS = 50.0
 # Few objects of a request are cyclic; a full collection stops the node for milliseconds.
 GC_THRESHOLD = 50_000
 
 
-def load_settings(path):
-    """Return the :class:`RelaySettings` in a JSON file.
-
-    :raises SettingsError: with all findings together.
-    """
-    try:
-        with open(path, "rb") as file:
-            document = orjson.loads(file.read())
-    except OSError as error:
-        raise SettingsError([Finding(path, error.strerror)]) from error
-    except orjson.JSONDecodeError as error:
-        raise SettingsError([Finding(f"{path}:{error.lineno}", error.msg)]) from error
-    if not isinstance(document, dict):
-        raise SettingsError([Finding(path, "not a JSON object")])
-    return build_settings(document)
-
-
 class Signals:
     """What the process was told: ``stop`` once, ``kill`` by a second signal."""
 
@@ -65,7 +45,7 @@
         self.stop.set()
 
 
-async def serve(settings, path):
+async def serve(settings, path, sockets):
     """Run one node until it is told to stop."""
     signals = Signals()
 
@@ -82,7 +62,7 @@
         node = RelayNode(settings, platform.feed, platform.client)
         front = PassingServer(adapter.build_front(node))
         inner = PassingServer(adapter.build_inner(node))
-        async with listening(node, front, inner):
+        async with listening(node, front, inner, sockets):
             decide(log, "started", data_centre=settings.data_centre)
             await signals.stop.wait()
             await shut_down(node, front, signals.kill)
@@ -90,16 +70,12 @@
 
 
 @asynccontextmanager
-async def listening(node, front, inner):
+async def listening(node, front, inner, sockets):
     """Serve callers, and the balancer's and operators' questions, for the length of the block."""
-    settings = node.settings
     await node.start()
     front.idle_ms = lambda: node.routes.limits.idle_ms if node.routes else None
-    await inner.listen(settings.ready)
-    if settings.metrics_port:
-        host = settings.ready.rpartition(":")[0]
-        await inner.listen(f"{host}:{settings.metrics_port}")
-    await front.listen(settings.front)
+    await inner.listen(sockets.inner)
+    await front.listen(sockets.front)
     try:
         yield
     finally:
@@ -132,20 +108,14 @@
         await node.clock.sleep(DRAIN_POLL_MS)
 
 
-def main():
-    """Run the program."""
-    if len(sys.argv) != 2:
-        print("usage: python -m auburnhollow_node.relay SETTINGS", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    path = sys.argv[1]
-    try:
-        settings = load_settings(path)
-    except SettingsError as error:
-        for finding in error.findings:
-            print(f"{path}: {finding}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+def run(settings, path, sockets):
+    """Run one node to its end.
+
+    :param path: where the settings were read from.
+    :param sockets: :class:`~auburnhollow_node.relay.sockets.Sockets`, open already.
+    """
     set_up_logs(settings)
     gc.set_threshold(GC_THRESHOLD, 20, 100)
     gc.freeze()
     gc.enable()
-    uvloop.run(serve(settings, path))
+    uvloop.run(serve(settings, path, sockets))
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/server.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/server.py
@@ -6,7 +6,6 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
-BACKLOG = 1024
 KEEP_ALIVE_S = 60.0
 # Callers reuse a connection for up to four fifths of the limit; the rest is for their way here.
 IDLE_SHARE = 1.25
@@ -62,13 +61,11 @@
         """How many connections are open."""
         return len(self._state.connections)
 
-    async def listen(self, address):
-        """Accept connections on ``host:port``."""
-        host, _, port = address.rpartition(":")
-        listener = await asyncio.get_running_loop().create_server(
-            self._protocol, host, int(port), backlog=BACKLOG
-        )
-        self._listeners.append(listener)
+    async def listen(self, sockets):
+        """Accept connections on sockets that listen already."""
+        loop = asyncio.get_running_loop()
+        for each in sockets:
+            self._listeners.append(await loop.create_server(self._protocol, sock=each))
 
     def close_after_answers(self):
         """Let each connection end with its next answer."""
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
@@ -1,5 +1,7 @@
 """Settings of a node that passes requests on."""
 
+import orjson
+
 from auburnhollow.exceptions import Finding, SettingsError
 from auburnhollow.records import Record
 
@@ -93,3 +95,20 @@
         value = document.get(name)
         values[name] = setting.default if value is None else value
     return RelaySettings(**values)
+
+
+def load_settings(path):
+    """Return the :class:`RelaySettings` in a JSON file.
+
+    :raises SettingsError: with all findings together.
+    """
+    try:
+        with open(path, "rb") as file:
+            document = orjson.loads(file.read())
+    except OSError as error:
+        raise SettingsError([Finding(path, error.strerror)]) from error
+    except orjson.JSONDecodeError as error:
+        raise SettingsError([Finding(f"{path}:{error.lineno}", error.msg)]) from error
+    if not isinstance(document, dict):
+        raise SettingsError([Finding(path, "not a JSON object")])
+    return build_settings(document)
--- a/packages/auburnhollow/src/auburnhollow/__init__.py
+++ b/packages/auburnhollow/src/auburnhollow/__init__.py
@@ -5,10 +5,26 @@
 >>> answer.rows[0]["id"], answer.complete
 """
 
-from .api import check, order, search
-from .exceptions import AuburnhollowError, QueryError, Ran
-from .sessions import Session
+import importlib
 
 __version__ = "0.1.0"
 
 __all__ = ["AuburnhollowError", "QueryError", "Ran", "Session", "check", "order", "search"]
+
+_PLACES = {
+    "AuburnhollowError": ".exceptions",
+    "QueryError": ".exceptions",
+    "Ran": ".exceptions",
+    "Session": ".sessions",
+    "check": ".api",
+    "order": ".api",
+    "search": ".api",
+}
+
+
+def __getattr__(name):
+    """Import what is asked for: a node must start without the callers' side."""
+    place = _PLACES.get(name)
+    if place is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(place, __name__), name)
