Leave servers that refuse or fail calls to others, and share their connections

The share of failed calls now adds to a server's cost and fades over seconds; a server without a listener is passed over at once; a node keeps to its share of a server's connections (855 resets). The test of shards with one good server fails with the penalty at 0. The test of a failing server now asks for 500 ms of patience and for the way back after 5 s; it asked for 1 s before, a figure of no source.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -77,7 +77,13 @@
         self.dispatcher = Dispatcher(
             client,
             self.registry,
-            Choice(settings.data_centre, settings.regions, self.clock, self._random),
+            Choice(
+                settings.data_centre,
+                settings.regions,
+                self.clock,
+                self._random,
+                lambda: len(self.fleet.membership.present()),
+            ),
             self.clock,
             self._random,
             self.metrics,
--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -8,6 +8,13 @@
 OTHER_REGION_MS = 25.0
 # A server that fails is better than none, so it costs time but is not ruled out.
 EJECTED_MS = 5_000.0
+# What a failed call costs its request: the way there and back, and a repeat of the budget.
+TROUBLE_MS = 150.0
+# A server resets connections beyond its bound; a call that waits elsewhere is better off.
+CROWDED_MS = 60.0
+# Fresh nodes do not know yet how many they are.
+LEAST_NODES = 8
+LEAST_CALLS = 2
 # Nodes that know the same must not all take the same server.
 BLUR = 0.1
 
@@ -17,21 +24,34 @@
 
     Expected is the way there and back, plus the usual work of the route at the server's measured
     speed, plus a queue where its slots are taken, plus the time that a late call has waited
-    already: a server that pauses or hangs is left alone until it answers again.
+    already: a server that pauses or hangs is left alone until it answers again. A server counts as
+    slower when its calls fail, or when this node uses more than its share of its connections.
 
     :param data_centre: where this node runs.
     :param regions: dictionary of data centres to regions.
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param random: a :class:`random.Random`.
+    :param count_nodes: function that returns how many nodes there are, as far as is known.
     """
 
-    __slots__ = ("_clock", "_data_centre", "_distances", "_random", "_regions", "_views")
-
-    def __init__(self, data_centre, regions, clock, random):
+    __slots__ = (
+        "_clock",
+        "_connections",
+        "_count_nodes",
+        "_data_centre",
+        "_distances",
+        "_random",
+        "_regions",
+        "_views",
+    )
+
+    def __init__(self, data_centre, regions, clock, random, count_nodes=lambda: 1):
         self._data_centre = data_centre
         self._regions = regions
         self._clock = clock
         self._random = random
+        self._count_nodes = count_nodes
+        self._connections = {}
         self._distances = {}
         self._views = {}
 
@@ -75,6 +95,20 @@
             self._views[server.incarnation] = view
         return view
 
+    def bound_connections(self, services):
+        """Take how many connections the servers of each service accept.
+
+        :param services: dictionary of names to :class:`~auburnhollow.routes.Service`.
+        """
+        self._connections = {name: service.connections for name, service in services.items()}
+
+    def share(self, server):
+        """Return how many calls to the server this node may have without crowding others."""
+        connections = self._connections.get(server.service)
+        if connections is None:
+            return server.slots
+        return max(LEAST_CALLS, connections // max(LEAST_NODES, self._count_nodes()))
+
     def forget(self, servers):
         """Drop what is known of all servers but these."""
         kept = {server.incarnation for server in servers}
@@ -89,7 +123,10 @@
         cost_ms = self.distance_ms(server) + work_ms
         if busy >= server.slots:
             cost_ms += work_ms * (busy + 1 - server.slots) / server.slots
-        cost_ms += view.lateness_ms(now_ms)
+        cost_ms += view.lateness_ms(now_ms) + view.trouble(now_ms) * TROUBLE_MS
+        crowd = len(view.calls) + 1 - self.share(server)
+        if crowd > 0:
+            cost_ms += crowd * CROWDED_MS
         if view.is_ejected(now_ms):
             cost_ms += EJECTED_MS
         return cost_ms
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -121,6 +121,7 @@
         """Drop what is kept of routes and services that a new configuration no longer names."""
         names = {route.name for route in table.routes}
         self._times = {name: times for name, times in self._times.items() if name in names}
+        self.choice.bound_connections(table.services)
         self.choice.forget(self.registry.servers)
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -11,6 +11,7 @@
     BackendRefused,
     BackendRejected,
     BackendReplaced,
+    BackendUnreachable,
     DeadlinePassed,
     Ran,
 )
@@ -201,10 +202,13 @@
             self._dispatcher.registry.misdirected(call.server)
         elif isinstance(error, BackendRefused):
             view.shed(call, call.server.slots, now_ms)
+            # It ran nothing and may have room in a moment.
+            leg.tried.remove(call.server.id)
         else:
             if isinstance(error, BackendDied):
                 self._quarantine.died(call.server.id, leg.service, self._fingerprint)
-            self._note_failure(view, call, now_ms)
+            is_certain = isinstance(error, BackendUnreachable)
+            self._note_failure(view, call, now_ms, is_certain)
         leg.error = error
 
     def _take_end(self, call):
@@ -212,8 +216,8 @@
         took_ms = now_ms - call.began_ms - self._choice.distance_ms(call.server)
         self._choice.view(call.server).gave_up(call, took_ms / self._times.work_ms, now_ms)
 
-    def _note_failure(self, view, call, now_ms):
-        duration_ms = view.failed(call, now_ms)
+    def _note_failure(self, view, call, now_ms, is_certain=False):
+        duration_ms = view.failed(call, now_ms, is_certain)
         if duration_ms > 0:
             decide(log, "server passed over", server=call.server.id, duration_ms=duration_ms)
             self._dispatcher.metrics.incr("relay.ejections")
@@ -273,7 +277,6 @@
         if not budget.try_spend():
             dispatcher.metrics.incr("relay.budget_refusals")
             return False
-        first = leg.tried[0]
         if not self._send(leg):
             return False
         dispatcher.metrics.incr("relay.hedges" if text == "hedge sent" else "relay.retries")
@@ -283,8 +286,8 @@
                 text,
                 self._request.id,
                 service=leg.service,
-                first=first,
                 server=leg.tried[-1],
+                tried=leg.sent,
                 age_ms=round(self._clock.now_ms() - self._request.received_ms),
                 budget_left=budget.left,
             )
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -1,6 +1,7 @@
 """What a request meets on its way to one server of each service."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -15,6 +16,7 @@
     Ran,
     Unavailable,
 )
+from auburnhollow.relay import Merged
 from auburnhollow_standins.fake_servers import (
     CENTRES,
     CUT,
@@ -365,3 +367,27 @@
     first, second = run_virtually(play())
     assert len(first.signatures) >= 4
     assert second.missing == 0
+
+
+def test_shards_with_a_good_server_are_whole_while_others_refuse_most_calls():
+    """The load: two of three servers of each shard refuse six calls of ten, for ten seconds."""
+
+    async def play():
+        bed = bed_of(retry_ratio=0.2)
+        rng = random.Random(2)
+        route = a_route(SHARDS, objective_ms=300.0)
+        calls = []
+        for number in range(600):
+            for shard in SHARDS:
+                for replica in (0, 1):
+                    name = f"{shard}-{replica}"
+                    bed.servers.behaviour[name] = REFUSED if rng.random() < 0.6 else 20.0
+            request = a_request(bed.clock, f"r-{number}")
+            calls.append(asyncio.create_task(bed.dispatcher.gather(request, route)))
+            await bed.clock.sleep(15)
+        return await asyncio.gather(*calls, return_exceptions=True)
+
+    answers = run_virtually(play())
+    late = answers[100:]
+    whole = [one for one in late if isinstance(one, Merged) and one.missing == 0]
+    assert len(whole) >= 0.9 * len(late)
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_parts.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_parts.py
@@ -12,6 +12,7 @@
 from auburnhollow.relay.merge import merge
 from auburnhollow.relay.routetimes import RouteTimes
 from auburnhollow.relay.views import ServerView
+from auburnhollow.routes import Service
 from auburnhollow_standins.fake_servers import HOME, REGIONS, a_route, a_server
 
 WORK_MS = 30.0
@@ -116,10 +117,58 @@
         choice.view(near).failed(number, clock.now_ms())
     assert choice.choose([near, far], WORK_MS).id == "far"
     assert choice.choose([near], WORK_MS).id == "near"
-    clock.advance(1_000.0)
+    clock.advance(500.0)
+    assert choice.choose([near, far], WORK_MS).id == "far"
+    clock.advance(5_000.0)
     assert choice.choose([near, far], WORK_MS).id == "near"
 
 
+def test_a_server_that_refuses_part_of_its_calls_is_left_to_others():
+    """Its health is good and its answers are fast; only a part of the calls is refused."""
+    clock = ManualClock()
+    choice = choice_of(clock)
+    near = a_server("near")
+    servers = [a_server("far", data_centre="iasi"), near]
+    rng = random.Random(5)
+    taken = []
+    for number in range(300):
+        server = choice.choose(servers, WORK_MS)
+        taken.append(server.id)
+        view = choice.view(server)
+        view.began(number, clock.now_ms())
+        clock.advance(20.0)
+        if server is near and rng.random() < 0.6:
+            view.shed(number, near.slots, clock.now_ms())
+            clock.advance(300.0)
+            continue
+        view.answered(number, 1.0, None, clock.now_ms())
+    assert taken.count("near") < 60
+
+
+def test_a_server_without_a_listener_is_passed_over_at_once():
+    clock = ManualClock()
+    choice = choice_of(clock)
+    near = a_server("near")
+    choice.view(near).began(1, clock.now_ms())
+    assert choice.view(near).failed(1, clock.now_ms(), is_certain=True) > 0
+    assert choice.choose([near, a_server("far", data_centre="iasi")], WORK_MS).id == "far"
+
+
+def test_calls_beyond_the_share_of_a_nodes_connections_go_elsewhere():
+    clock = ManualClock()
+    choice = Choice(HOME, REGIONS, clock, random.Random(1), lambda: 10)
+    choice.bound_connections({"search": Service(name="search", connections=30)})
+    near = a_server("near", slots=20)
+    far = a_server("far", data_centre="iasi", slots=20)
+    assert choice.share(near) == 3
+    taken = []
+    for number in range(6):
+        server = choice.choose([near, far], WORK_MS)
+        choice.view(server).began(number, clock.now_ms())
+        taken.append(server.id)
+    assert taken.count("near") == 3
+
+
 def test_a_restart_under_the_same_id_is_another_server():
     clock = ManualClock()
     choice = choice_of(clock)
--- a/packages/auburnhollow/src/auburnhollow/relay/views.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -12,6 +12,8 @@
 LOAD_FRESH_MS = 250.0
 COLD_FACTOR = 1.6
 FAILURES_TO_EJECT = 2
+# Some ten calls tell the share of failures; less would take chance for a fault.
+TROUBLE_STEP = 0.15
 FIRST_EJECTION_MS = 700.0
 LONGEST_EJECTION_MS = 6_000.0
 
@@ -32,6 +34,8 @@
         "_load_ms",
         "_seen_ms",
         "_speed",
+        "_trouble",
+        "_troubled_ms",
         "calls",
     )
 
@@ -45,6 +49,8 @@
         self._load_ms = -LOAD_FRESH_MS
         self._seen_ms = now_ms
         self._speed = 1.0
+        self._trouble = 0.0
+        self._troubled_ms = now_ms
         self.calls = {}
 
     def speed(self, now_ms):
@@ -55,6 +61,10 @@
             return speed * COLD_FACTOR
         return speed
 
+    def trouble(self, now_ms):
+        """Return the share of its calls that fail or are refused, 0 to 1, faded towards 0."""
+        return self._trouble * math.exp((self._troubled_ms - now_ms) / FORGET_MS)
+
     def busy(self, now_ms):
         """Return how many requests it has, by its own word or by our calls."""
         if now_ms - self._load_ms < LOAD_FRESH_MS:
@@ -89,6 +99,7 @@
         began_ms = self.calls.pop(call, now_ms)
         self._failures = 0
         self._ejections = 0
+        self._note_trouble(0.0, now_ms)
         if load is not None:
             self._load = load
             self._load_ms = now_ms
@@ -109,22 +120,33 @@
     def shed(self, call, slots, now_ms):
         """Note that the server had no room for a call."""
         self.calls.pop(call, None)
+        self._note_trouble(1.0, now_ms)
         self._load = max(self._load, 2 * slots)
         self._load_ms = now_ms
 
-    def failed(self, call, now_ms):
-        """Note a call that failed; returns for how long the server is passed over, or 0."""
+    def failed(self, call, now_ms, is_certain=False):
+        """Note a call that failed; returns for how long the server is passed over, or 0.
+
+        :param is_certain: whether one such failure is enough, as when nothing listens there.
+        """
         self.calls.pop(call, None)
+        self._note_trouble(1.0, now_ms)
         if not self.calls:
             self._late_since_ms = None
         self._failures += 1
-        if self._failures < FAILURES_TO_EJECT or self.is_ejected(now_ms):
+        is_over = is_certain or self._failures >= FAILURES_TO_EJECT
+        if not is_over or self.is_ejected(now_ms):
             return 0.0
         duration_ms = min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2**self._ejections)
         self._ejections += 1
         self._ejected_until_ms = now_ms + duration_ms
         return duration_ms
 
+    def _note_trouble(self, outcome, now_ms):
+        known = self.trouble(now_ms)
+        self._trouble = known + TROUBLE_STEP * (outcome - known)
+        self._troubled_ms = now_ms
+
     def _learn(self, ratio, now_ms):
         speed = 1.0 + (self._speed - 1.0) * math.exp((self._seen_ms - now_ms) / FORGET_MS)
         sample = min(SLOWEST_SAMPLE * max(1.0, speed), max(FASTEST, ratio))
