Ask the store through a few nodes in large fleets, and share out the slack of repeats

Slack is divided by the most nodes seen and begins a window after the start (12 seeds with 65 nodes, restarts and partial views).

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -9,8 +9,8 @@
 from auburnhollow.decisions import decide
 from auburnhollow.events import Recorder
 from auburnhollow.exceptions import NoRoute, NotReady, PeerError, QueryError, TooLarge
-from auburnhollow.follow import Follower, Neighbours
-from auburnhollow.follow.messages import KnownAsk
+from auburnhollow.follow import ChangeServer, Follower, Neighbours, SharedFeed
+from auburnhollow.follow.messages import ChangesAsk, KnownAsk
 from auburnhollow.hashing import first_ranked
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
@@ -82,17 +82,25 @@
                 settings.regions,
                 self.clock,
                 self._random,
-                lambda: len(self.fleet.membership.present()),
+                self._count_nodes,
             ),
             self.clock,
             self._random,
             self.metrics,
             self.quarantine,
             DispatchSettings(
-                retry_ratio=settings.retry_ratio, retry_window_ms=settings.retry_window_ms
+                retry_ratio=settings.retry_ratio,
+                retry_window_ms=settings.retry_window_ms,
+                retry_slack=settings.retry_slack,
             ),
+            self._count_nodes,
         )
-        self.follower = Follower(feed, self.registry, self.clock, self._random, self._take_routes)
+        shared = SharedFeed(feed, self.peers, self.fleet.membership, self.clock, self._random)
+        self.follower = Follower(
+            shared, self.registry, self.clock, self._random, self.dispatcher.forget
+        )
+        changes = ChangeServer(self.follower, shared, self.clock)
+        self.peer_server.on(ChangesAsk, changes.answer)
         neighbours = Neighbours(self.follower, self.peers, self._other_nodes, self._random)
         self.follower.ask_others = neighbours.ask
         self.peer_server.on(KnownAsk, neighbours.answer)
@@ -209,8 +217,8 @@
     def _ranks_first_for(self, fingerprint):
         return first_ranked(fingerprint, self.fleet.membership.present()) == self.settings.id
 
-    def _take_routes(self, table):
-        self.dispatcher.forget(table)
+    def _count_nodes(self):
+        return len(self.fleet.membership.present())
 
     async def _wait_first_read(self, request):
         """Let a request wait for the store's first answer, if one can come soon."""
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
@@ -39,6 +39,7 @@
     "store": _text(),
     "retry_ratio": _number(0.1, 0.0, 1.0),
     "retry_window_ms": _number(10_000.0, 1_000.0, 600_000.0),
+    "retry_slack": _number(0.0, 0.0, 1_000_000.0),
     "linger_ms": _number(2_600.0, 0.0, 60_000.0),
     "shutdown_ms": _number(5_600.0, 0.0, 600_000.0),
     "log_level": _text("info"),
--- a/packages/auburnhollow/src/auburnhollow/follow/__init__.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/__init__.py
@@ -11,8 +11,10 @@
 )
 from .follower import Follower
 from .neighbours import Neighbours
+from .sharing import ChangeServer, SharedFeed
 
 __all__ = [
+    "ChangeServer",
     "ConfigurationSeen",
     "Feed",
     "Follower",
@@ -20,6 +22,7 @@
     "Neighbours",
     "ServerGone",
     "ServerSeen",
+    "SharedFeed",
     "StoreView",
     "UnreadableEntry",
 ]
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -7,6 +7,7 @@
 from ..decisions import decide
 from ..exceptions import StoreUnavailable
 from .feed import ConfigurationSeen, HistoryLost, ServerGone, ServerSeen, UnreadableEntry
+from .sharing import ChangeLog
 
 log = logging.getLogger("follow")
 
@@ -54,9 +55,9 @@
     :param on_routes: function that is called with each newer
         :class:`~auburnhollow.routes.RouteTable`.
 
-    ``first_answer`` is an event that is set once the first read has ended, well or not.
-    ``ask_others`` is a coroutine function that is called while the store can't be reached, to learn
-    from other nodes.
+    ``changes`` keeps what has changed, for other nodes. ``first_answer`` is an event that is set
+    once the first read has ended, well or not. ``ask_others`` is a coroutine function that is
+    called while the store can't be reached, to learn from other nodes.
 
     >>> follower = Follower(feed, registry, clock, random)
     >>> task = asyncio.create_task(follower.run())
@@ -70,6 +71,7 @@
         "_revision",
         "_routes",
         "_seen_ms",
+        "changes",
         "ask_others",
         "first_answer",
         "on_routes",
@@ -85,6 +87,7 @@
         self._routes = None
         self._seen_ms = None
         self.registry = registry
+        self.changes = ChangeLog()
         self.ask_others = None
         self.first_answer = asyncio.Event()
         self.on_routes = on_routes
@@ -161,10 +164,12 @@
             for statement in view.statements:
                 take(statement, self)
             self._revision = view.revision
+            self.changes.add(view.revision, view.statements)
             if view.statements:
                 await self._clock.sleep(COLLECT_MS)
             return
         self._revision = view.revision
+        self.changes.restart(view.revision)
         self.first_answer.set()
 
     def _take_all(self, view):
@@ -191,3 +196,4 @@
         if self._is_reachable is not False:
             decide(log, "store lost", level=logging.WARNING, error=str(error), age_ms=self.age_ms)
         self._is_reachable = False
+        self.changes.wake()
--- a/packages/auburnhollow/src/auburnhollow/follow/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/messages.py
@@ -1,8 +1,12 @@
 """What nodes tell each other of the store when one of them can't reach it."""
 
+from functools import singledispatch
+
+from ..exceptions import ProtocolError
 from ..peers.codec import Message, register
 from ..routes import Branch, FrontLimits, Route, RouteTable, Service
 from ..servers import Server, ServerState
+from .feed import ConfigurationSeen, ServerGone, ServerSeen, UnreadableEntry
 
 
 @register("known-ask")
@@ -12,15 +16,30 @@
     __slots__ = ("version",)
 
 
+@register("changes-ask")
+class ChangesAsk(Message):
+    """Asks what has changed after ``revision``, waiting up to ``wait_ms`` for the first change."""
+
+    __slots__ = ("revision", "wait_ms")
+
+
+@register("changes")
+class Changes(Message):
+    """What has changed up to ``revision``, as packed statements; ``None`` when it is not kept."""
+
+    __slots__ = ("revision", "statements")
+
+
 @register("known")
 class Known(Message):
     """What a node knows.
 
-    ``age_ms`` is the time since the store confirmed it, ``table`` the configuration as plain lists
-    or ``None`` when the asker has it, ``servers`` the servers as plain lists.
+    ``revision`` is the store's up to which it holds, ``age_ms`` the time since the store confirmed
+    it, ``table`` the configuration as plain lists or ``None`` when the asker has it, ``servers``
+    the servers as plain lists.
     """
 
-    __slots__ = ("age_ms", "table", "servers")
+    __slots__ = ("revision", "age_ms", "table", "servers")
 
 
 def pack_table(table):
@@ -72,3 +91,47 @@
         server.state = ServerState(server.state)
         servers.append(server)
     return servers
+
+
+@singledispatch
+def pack_statement(statement):
+    """Return a statement of the store as a plain list."""
+    raise TypeError(type(statement).__name__)
+
+
+@pack_statement.register
+def _(statement: ConfigurationSeen):
+    return ["configuration", pack_table(statement.table)]
+
+
+@pack_statement.register
+def _(statement: ServerSeen):
+    return ["server", pack_servers([statement.server])[0]]
+
+
+@pack_statement.register
+def _(statement: ServerGone):
+    return ["gone", statement.id]
+
+
+@pack_statement.register
+def _(statement: UnreadableEntry):
+    return ["unreadable", [statement.key, statement.reason]]
+
+
+def unpack_statement(packed):
+    """Return the statement in a plain list.
+
+    :raises ProtocolError: when it is none.
+    """
+    try:
+        kind, value = packed
+        if kind == "configuration":
+            return ConfigurationSeen(table=unpack_table(value))
+        if kind == "server":
+            return ServerSeen(server=unpack_servers([value])[0])
+        if kind == "gone":
+            return ServerGone(id=value)
+        return UnreadableEntry.from_list(value)
+    except (TypeError, ValueError) as error:
+        raise ProtocolError(f"not a statement: {error!r}") from error
--- a/packages/auburnhollow/src/auburnhollow/follow/neighbours.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/neighbours.py
@@ -38,7 +38,10 @@
         if routes is not None and routes.version > message.version:
             table = pack_table(routes)
         return Known(
-            age_ms=follower.age_ms, table=table, servers=pack_servers(follower.registry.servers)
+            revision=follower.changes.revision,
+            age_ms=follower.age_ms,
+            table=table,
+            servers=pack_servers(follower.registry.servers),
         )
 
     async def ask(self):
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
@@ -0,0 +1,292 @@
+"""Following the store through a few nodes."""
+
+import asyncio
+import random
+
+import pytest
+
+from auburnhollow.exceptions import PeerError, ProtocolError, StoreUnavailable
+from auburnhollow.follow import (
+    ChangeServer,
+    ConfigurationSeen,
+    Feed,
+    Follower,
+    Neighbours,
+    ServerGone,
+    ServerSeen,
+    SharedFeed,
+    StoreView,
+    UnreadableEntry,
+)
+from auburnhollow.follow.messages import (
+    ChangesAsk,
+    KnownAsk,
+    pack_statement,
+    pack_table,
+    unpack_statement,
+    unpack_table,
+)
+from auburnhollow.follow.sharing import ALONE_UP_TO, WATCHERS
+from auburnhollow.membership import ALIVE, Member
+from auburnhollow.metrics import Metrics
+from auburnhollow.peers import Peers, PeerServer
+from auburnhollow.peers.codec import Failure
+from auburnhollow.routes import Branch, FrontLimits, RouteTable, Service
+from auburnhollow.servers import ServerRegistry
+from auburnhollow_standins.fake_servers import a_route, a_server
+from auburnhollow_standins.virtual import VirtualClock, run_virtually
+
+LIMITS = FrontLimits(header_bytes=1, body_bytes=2, header_ms=3, idle_ms=4)
+
+
+def a_table(version):
+    routes = [
+        a_route(("a", "b"), name="all"),
+        a_route(name="split", branches=(Branch(service="a", weight=1),)),
+    ]
+    return RouteTable(version, routes, [Service(name="a", connections=9)], LIMITS)
+
+
+class Store(Feed):
+    """A store in memory that counts its calls."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.statements = [ConfigurationSeen(table=a_table(1))]
+        self.calls = 0
+        self.refused = set()
+
+    def client(self, name):
+        return StoreClient(self, name)
+
+    async def read(self, name):
+        await self._call(name)
+        return StoreView(statements=list(self.statements), revision=len(self.statements))
+
+    async def changes(self, name, revision, wait_ms):
+        await self._call(name)
+        until_ms = self.clock.now_ms() + wait_ms
+        while len(self.statements) == revision and self.clock.now_ms() < until_ms:
+            await self.clock.sleep(20)
+            if name in self.refused:
+                await self.clock.sleep(10_000)
+        found = self.statements[revision:]
+        return StoreView(statements=found, revision=len(self.statements))
+
+    async def _call(self, name):
+        self.calls += 1
+        await self.clock.sleep(4)
+        if name in self.refused:
+            raise StoreUnavailable("refused")
+
+
+class StoreClient(Feed):
+    def __init__(self, store, name):
+        self.store = store
+        self.name = name
+
+    async def read(self):
+        return await self.store.read(self.name)
+
+    async def changes(self, revision, wait_ms):
+        try:
+            async with asyncio.timeout((wait_ms + 1_000) / 1000):
+                return await self.store.changes(self.name, revision, wait_ms)
+        except TimeoutError:
+            raise StoreUnavailable("silent") from None
+
+
+class Wires(Peers):
+    """Carries messages to the peer servers of a fleet; those in ``cut`` do not answer."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.servers = {}
+        self.cut = set()
+
+    async def ask(self, address, message, timeout_ms):
+        try:
+            async with self.clock.timeout(timeout_ms):
+                await self.clock.sleep(5)
+                if address in self.cut:
+                    await self.clock.sleep(60_000)
+                answer = await self.servers[address].handle(message)
+        except TimeoutError:
+            raise PeerError("silent") from None
+        if isinstance(answer, Failure):
+            raise PeerError(answer.text)
+        return answer
+
+
+class Members:
+    """A membership in which all nodes are known."""
+
+    def __init__(self, names, me):
+        self.members = {name: member(name) for name in names}
+        self.me = self.members[me]
+
+    def answering(self):
+        return tuple(self.members)
+
+
+def member(name):
+    return Member(
+        id=name,
+        address=name,
+        data_centre="cluj",
+        state=ALIVE,
+        incarnation=1,
+        revision=0,
+        ready=True,
+    )
+
+
+class Fleet:
+    """Followers of one store."""
+
+    def __init__(self, count, seed=1):
+        self.clock = VirtualClock()
+        self.store = Store(self.clock)
+        self.wires = Wires(self.clock)
+        self.followers = {}
+        self.feeds = {}
+        self.tasks = []
+        names = [f"node-{number}" for number in range(count)]
+        for name in names:
+            rng = random.Random(f"{seed}{name}")
+            members = Members(names, name)
+            feed = SharedFeed(StoreClient(self.store, name), self.wires, members, self.clock, rng)
+            follower = Follower(feed, ServerRegistry(self.clock), self.clock, rng)
+            server = PeerServer(Metrics())
+            server.on(ChangesAsk, ChangeServer(follower, feed, self.clock).answer)
+            neighbours = Neighbours(follower, self.wires, lambda: (), rng)
+            server.on(KnownAsk, neighbours.answer)
+            self.wires.servers[name] = server
+            self.followers[name] = follower
+            self.feeds[name] = feed
+
+    def start(self):
+        for follower in self.followers.values():
+            self.tasks.append(asyncio.create_task(follower.run()))
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def watchers(self):
+        return [name for name, feed in self.feeds.items() if feed.is_direct]
+
+    def behind(self, version):
+        found = []
+        for name, follower in self.followers.items():
+            if follower.routes is None or follower.routes.version < version:
+                found.append(name)
+        return found
+
+
+def play(count, scenario):
+    async def run():
+        fleet = Fleet(count)
+        fleet.start()
+        await fleet.clock.sleep(8_000)
+        try:
+            return await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    return run_virtually(run())
+
+
+def test_a_small_fleet_asks_the_store_itself():
+    async def scenario(fleet):
+        return len(fleet.watchers())
+
+    assert play(ALONE_UP_TO, scenario) == ALONE_UP_TO
+
+
+@pytest.mark.parametrize("count", [20, 65])
+def test_calls_of_the_store_do_not_grow_with_the_fleet(count):
+    async def scenario(fleet):
+        before = fleet.store.calls
+        await fleet.clock.sleep(60_000)
+        return len(fleet.watchers()), fleet.store.calls - before
+
+    watchers, calls = play(count, scenario)
+    assert watchers == WATCHERS
+    assert calls <= WATCHERS * 55
+
+
+def test_a_change_is_everywhere_within_a_second():
+    async def scenario(fleet):
+        fleet.store.statements.append(ConfigurationSeen(table=a_table(9)))
+        fleet.store.statements.append(ServerSeen(server=a_server("i-1")))
+        await fleet.clock.sleep(1_000)
+        servers = [len(follower.registry) for follower in fleet.followers.values()]
+        return fleet.behind(9), servers
+
+    behind, servers = play(40, scenario)
+    assert behind == []
+    assert set(servers) == {1}
+
+
+@pytest.mark.parametrize("fault", ["deaf to the store", "silent to the nodes"])
+@pytest.mark.parametrize("count", [1, 2, 4])
+def test_a_change_is_everywhere_in_time_when_watchers_are_cut(fault, count):
+    """The bound is 3 s from the change for nodes that reach the store and other nodes."""
+
+    async def scenario(fleet):
+        cut = fleet.watchers()[:count]
+        if fault == "deaf to the store":
+            fleet.store.refused.update(cut)
+        else:
+            fleet.wires.cut.update(cut)
+        await fleet.clock.sleep(30)
+        fleet.store.statements.append(ConfigurationSeen(table=a_table(9)))
+        await fleet.clock.sleep(3_000)
+        return [name for name in fleet.behind(9) if name not in cut]
+
+    assert play(30, scenario) == []
+
+
+def test_an_outage_of_the_store_costs_few_calls_and_ends_everywhere():
+    async def scenario(fleet):
+        fleet.store.refused.update(fleet.followers)
+        before = fleet.store.calls
+        await fleet.clock.sleep(10_000)
+        calls = fleet.store.calls - before
+        fleet.store.refused.clear()
+        fleet.store.statements.append(ConfigurationSeen(table=a_table(9)))
+        await fleet.clock.sleep(4_000)
+        return calls, fleet.behind(9)
+
+    calls, behind = play(40, scenario)
+    assert calls <= 40 * 8
+    assert behind == []
+
+
+STATEMENTS = [
+    ServerSeen(server=a_server("i-1")),
+    ServerGone(id="i-1"),
+    UnreadableEntry(key="k", reason="r"),
+]
+
+
+@pytest.mark.parametrize("statement", STATEMENTS)
+def test_statements_travel(statement):
+    assert unpack_statement(pack_statement(statement)) == statement
+
+
+def test_a_configuration_travels():
+    table = a_table(7)
+    packed = pack_statement(ConfigurationSeen(table=table))
+    arrived = unpack_statement(packed).table
+    assert pack_table(arrived) == pack_table(table)
+    assert arrived.routes == unpack_table(pack_table(table)).routes
+    assert arrived.routes == table.routes
+
+
+@pytest.mark.parametrize("packed", [[], ["server"], ["server", [1]], ["configuration", 5], 7])
+def test_what_is_no_statement_is_refused(packed):
+    with pytest.raises(ProtocolError):
+        unpack_statement(packed)
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -3,7 +3,7 @@
 from ..exceptions import Ran, Unavailable
 from ..records import Record
 from ..retry import spread_ms
-from ..retry.window import WindowBudget
+from ..retry.window import Slack, WindowBudget
 from .fanout import FanOut
 from .merge import merge
 from .messages import Merged
@@ -16,10 +16,11 @@
 class DispatchSettings(Record):
     """Bounds of the relay.
 
-    ``retry_ratio`` is the repeats allowed per request of a service within ``retry_window_ms``.
+    ``retry_ratio`` is the repeats allowed per request of a service within ``retry_window_ms``,
+    ``retry_slack`` what all nodes together may send beyond that.
     """
 
-    __slots__ = ("retry_ratio", "retry_window_ms")
+    __slots__ = ("retry_ratio", "retry_window_ms", "retry_slack")
 
 
 class Dispatcher:
@@ -33,6 +34,7 @@
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
     :param quarantine: :class:`~auburnhollow.quarantine.Quarantine`.
     :param settings: :class:`DispatchSettings`.
+    :param count_nodes: function that returns how many nodes are known, this one included.
 
     >>> merged = await dispatcher.gather(request, route)
     """
@@ -41,6 +43,7 @@
         "_budgets",
         "_random",
         "_settings",
+        "_slack",
         "_times",
         "choice",
         "client",
@@ -50,7 +53,9 @@
         "registry",
     )
 
-    def __init__(self, client, registry, choice, clock, random, metrics, quarantine, settings):
+    def __init__(
+        self, client, registry, choice, clock, random, metrics, quarantine, settings, count_nodes
+    ):
         self.client = client
         self.registry = registry
         self.choice = choice
@@ -59,6 +64,7 @@
         self.quarantine = quarantine
         self._random = random
         self._settings = settings
+        self._slack = Slack(clock, count_nodes, settings.retry_slack, settings.retry_window_ms)
         self._budgets = {}
         self._times = {}
 
@@ -99,7 +105,9 @@
         budget = self._budgets.get(service)
         if budget is None:
             settings = self._settings
-            budget = WindowBudget(self.clock, settings.retry_ratio, settings.retry_window_ms)
+            budget = WindowBudget(
+                self.clock, settings.retry_ratio, settings.retry_window_ms, self._slack
+            )
             self._budgets[service] = budget
         return budget
 
--- a/packages/auburnhollow/src/auburnhollow/retry/tests/test_window.py
+++ b/packages/auburnhollow/src/auburnhollow/retry/tests/test_window.py
@@ -5,7 +5,7 @@
 import pytest
 
 from auburnhollow.clock import ManualClock
-from auburnhollow.retry.window import WindowBudget
+from auburnhollow.retry.window import Slack, WindowBudget
 
 WINDOW_MS = 10_000.0
 RATIO = 0.2
@@ -26,6 +26,62 @@
     assert budget.left == 0
 
 
+def test_slack_comes_a_window_after_the_start_and_with_other_nodes():
+    clock = ManualClock()
+    nodes = [1]
+    slack = Slack(clock, lambda: nodes[0], total=100, window_ms=WINDOW_MS)
+    budget = WindowBudget(clock, RATIO, WINDOW_MS, slack)
+    nodes[0] = 20
+    assert not budget.try_spend()
+    clock.advance(WINDOW_MS * 1.2)
+    assert [budget.try_spend() for _ in range(5)] == [True, True, True, False, False]
+    nodes[0] = 1
+    clock.advance(WINDOW_MS * 2)
+    assert not budget.try_spend()
+    nodes[0] = 10
+    assert slack.share() == 75 / 20
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_slack_of_all_nodes_keeps_to_the_total_through_restarts_and_partitions(seed):
+    """Few requests and many nodes; each sees between two nodes and all of them."""
+    rng = random.Random(seed)
+    clock = ManualClock()
+    total = 170
+    fleet = 65
+    seen = [fleet] * fleet
+
+    def node(number):
+        slack = Slack(clock, lambda: seen[number], total, WINDOW_MS)
+        return WindowBudget(clock, RATIO, WINDOW_MS, slack)
+
+    nodes = [node(number) for number in range(fleet)]
+    clock.advance(WINDOW_MS * 1.2)
+    for each in nodes:
+        each.try_spend()
+    requests = []
+    repeats = []
+    for _ in range(9_000):
+        clock.advance(rng.expovariate(1 / 5.0))
+        number = rng.randrange(fleet)
+        if rng.random() < 0.002:
+            nodes[number] = node(number)
+        if rng.random() < 0.01:
+            seen[number] = rng.choice((2, fleet // 2, fleet))
+        if rng.random() < 0.02:
+            nodes[number].count_request()
+            requests.append(clock.now_ms())
+        if nodes[number].try_spend():
+            repeats.append(clock.now_ms())
+    for end_ms in repeats[:: max(1, len(repeats) // 60)]:
+        spent = _between(repeats, end_ms - WINDOW_MS, end_ms)
+        windows = []
+        for back_ms in (0.0, WINDOW_MS / 2, WINDOW_MS):
+            end = end_ms - back_ms
+            windows.append(_between(requests, end - WINDOW_MS, end))
+        assert spent <= RATIO * max(windows) + total
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_no_interleaving_over_nodes_and_restarts_exceeds_the_share(seed):
     """In any window, repeats keep to the share of the requests of it and the one before."""
--- a/packages/auburnhollow/src/auburnhollow/retry/window.py
+++ b/packages/auburnhollow/src/auburnhollow/retry/window.py
@@ -4,9 +4,47 @@
 
 # Keeps the sum over all nodes under the bound when requests are counted a moment apart.
 MARGIN = 0.95
+SLACK_MARGIN = 0.75
+WINDOWS_TO_WAIT = 1.1
+# Fewer nodes than this are not believed: the others may not be known yet.
+LEAST_NODES = 7
 STEPS = 20
 
 
+class Slack:
+    """Share out the repeats that all nodes together may send whatever the requests.
+
+    The share is nothing until the window before the start has passed, since the node that ran here
+    before may have used its part, and while no other node is known.
+
+    :param count_nodes: function that returns how many nodes are known, this one included.
+    :param total: repeats in a window, for each service, of all nodes together.
+
+    >>> Slack(clock, count_nodes, total=54, window_ms=10_000).share()
+    0.0
+    """
+
+    __slots__ = ("_clock", "_count_nodes", "_from_ms", "_nodes", "_total")
+
+    def __init__(self, clock, count_nodes, total, window_ms):
+        self._clock = clock
+        self._count_nodes = count_nodes
+        self._total = total * SLACK_MARGIN
+        self._nodes = 0
+        self._from_ms = clock.now_ms() + window_ms * WINDOWS_TO_WAIT
+
+    def share(self):
+        """Return how many repeats of a window are this node's, beyond those of the ratio."""
+        if self._clock.now_ms() < self._from_ms:
+            return 0.0
+        known = self._count_nodes()
+        if known < 2:
+            return 0.0
+        # Nodes that are not seen any more may still send: a partition must not raise the share.
+        self._nodes = max(self._nodes, known)
+        return self._total / max(LEAST_NODES, self._nodes)
+
+
 class WindowBudget:
     """Allows repeats up to a share of the requests that this node has sent in a sliding window.
 
@@ -17,6 +55,7 @@
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param ratio: repeats per request, 0 to 1.
     :param window_ms: length of the window, in milliseconds.
+    :param slack: :class:`Slack`, or ``None`` for no repeats beyond the ratio.
 
     >>> budget = WindowBudget(clock, ratio=0.2, window_ms=10_000)
     >>> budget.count_request()
@@ -30,12 +69,13 @@
         "_refused",
         "_repeats",
         "_requests",
-        "_steps",
+        "_slack",
         "_spent",
+        "_steps",
         "_step_ms",
     )
 
-    def __init__(self, clock, ratio, window_ms):
+    def __init__(self, clock, ratio, window_ms, slack=None):
         self._clock = clock
         self._ratio = ratio * MARGIN
         self._step_ms = window_ms / STEPS
@@ -44,6 +84,7 @@
         self._repeats = 0
         self._spent = 0
         self._refused = 0
+        self._slack = slack
 
     @property
     def spent(self):
@@ -59,7 +100,7 @@
     def left(self):
         """How many repeats may be made now."""
         self._turn()
-        return max(0, int(self._requests * self._ratio - self._repeats))
+        return max(0, int(self._allowed() - self._repeats))
 
     def count_request(self):
         """Count a request that is sent for the first time."""
@@ -69,7 +110,7 @@
     def try_spend(self):
         """Return whether one repeat may be sent, and count it."""
         step = self._turn()
-        if self._repeats + 1 > self._requests * self._ratio:
+        if self._repeats + 1 > self._allowed():
             self._refused += 1
             return False
         step[2] += 1
@@ -77,6 +118,10 @@
         self._spent += 1
         return True
 
+    def _allowed(self):
+        slack = 0.0 if self._slack is None else self._slack.share()
+        return self._requests * self._ratio + slack
+
     def _turn(self):
         """Drop what has left the window and return the present step."""
         number = int(self._clock.now_ms() / self._step_ms)
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -140,7 +140,8 @@
             rng,
             Metrics(),
             Quarantine(self.clock, Recorder("node-1", self.clock), rng),
-            DispatchSettings(retry_ratio=retry_ratio, retry_window_ms=10_000.0),
+            DispatchSettings(retry_ratio=retry_ratio, retry_window_ms=10_000.0, retry_slack=0.0),
+            lambda: 1,
         )
 
     def allow_repeats(self, *services, count=50):
