Explain requests from logs, and serve counters and histograms as text

Each answer and failure is a line, with all calls of a request whose answer was late, partial or none; auburnhollow explain-request puts the lines of all nodes together; check also takes the settings of a relay node.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -4,6 +4,7 @@
 import logging
 import math
 import random
+import resource
 
 from auburnhollow.clock import Clock
 from auburnhollow.decisions import decide
@@ -171,9 +172,38 @@
             raise
         finally:
             self._in_progress -= 1
-        self.metrics.incr("front.answered")
+        self._note_answer(request, route, answer)
         return answer
 
+    def gauges(self):
+        """Return the present values that the metrics address shows, by name."""
+        routes = self.routes
+        return {
+            "node.in_progress": self._in_progress,
+            "node.is_ready": int(self.is_ready),
+            "node.configuration_version": None if routes is None else routes.version,
+            "node.store_age_ms": self.follower.age_ms,
+            "node.store_reachable": int(bool(self.follower.is_reachable)),
+            "node.servers": len(self.registry),
+            "node.nodes_present": self._count_nodes(),
+            "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+        }
+
+    def _note_answer(self, request, route, answer):
+        age_ms = self.clock.now_ms() - request.received_ms
+        self.metrics.incr("front.answered")
+        self.metrics.timing("front.search_ms" if route.shards else "front.single_ms", age_ms)
+        decide(
+            log,
+            "request answered",
+            request.id,
+            route=route.name,
+            version=self.routes.version,
+            status=getattr(answer, "status", None),
+            missing=getattr(answer, "missing", None),
+            age_ms=round(age_ms),
+        )
+
     def _wire_fleet(self):
         settings = self.settings
         self.events = Recorder(settings.id, self.clock)
--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -28,8 +28,9 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
+from auburnhollow_node.relay.settings import check_settings
 
-from . import pictures, texts
+from . import pictures, stories, texts
 from .fleet import FleetView
 
 WRITE_TRIES = 20
@@ -44,6 +45,10 @@
     """Some live nodes did not confirm a revision in time."""
 
 
+class UnknownRequest(AuburnhollowError):
+    """The logs do not mention a request."""
+
+
 class Change:
     """A change that an operator wants: the document before and after, and why."""
 
@@ -72,8 +77,10 @@
         self._json = json
 
     def check(self, file):
-        """Check a configuration file; print all findings."""
-        findings = check_document(read_json(file, ConfigurationError))
+        """Check a configuration file, or the settings of a relay node; print all findings."""
+        document = read_json(file, ConfigurationError)
+        is_settings = "adapter" in document
+        findings = check_settings(document) if is_settings else check_document(document)
         if findings:
             raise ConfigurationError(findings)
         self._print({"valid": True, "file": str(file)}, f"{file} is valid")
@@ -293,6 +300,18 @@
         async with aiohttp.ClientSession() as session:
             yield Repository(HttpStore(session, self._store)), FleetView(session, self._nodes)
 
+    def explain_request(self, request, *files, around_ms=0):
+        """Print what became of a request, from the log files of all nodes.
+
+        :param request: the id that the caller sent.
+        :param files: log files; the standard input without any.
+        :param around_ms: also what its nodes came to believe so long before and after it.
+        """
+        story = stories.tell(str(request), stories.read_lines(files or ("-",)), around_ms)
+        if not story:
+            raise UnknownRequest(f"no line of {request}: answered before the logs, or dropped")
+        self._print(story, "\n".join(story))
+
     def _progress(self, text):
         if not self._json:
             print(text, file=sys.stderr)
--- a/packages/auburnhollow/src/auburnhollow/metrics.py
+++ b/packages/auburnhollow/src/auburnhollow/metrics.py
@@ -1,16 +1,53 @@
 """Metrics by statsd."""
 
+from bisect import bisect_left
 from contextlib import contextmanager
 
 import statsd
 
 PREFIX = "auburnhollow"
+# Upper bounds in milliseconds, from an answer within one data centre to the longest deadline.
+BUCKETS_MS = (
+    1,
+    2,
+    5,
+    10,
+    20,
+    35,
+    50,
+    75,
+    100,
+    150,
+    200,
+    300,
+    500,
+    750,
+    1_000,
+    2_000,
+    5_000,
+    10_000,
+)
+
+
+class Histogram:
+    """Counts durations by :data:`BUCKETS_MS`; the last of ``counts`` is for longer ones."""
+
+    __slots__ = ("counts", "sum_ms")
+
+    def __init__(self):
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.sum_ms = 0.0
+
+    def observe(self, duration_ms):
+        """Count one duration."""
+        self.counts[bisect_left(BUCKETS_MS, duration_ms)] += 1
+        self.sum_ms += duration_ms
 
 
 class Metrics:
     """Counts, gauges and timings; sent to a statsd server where one is set.
 
-    The counts are also kept here, so that ``status`` can show them.
+    Counts and durations are also kept here, for ``status`` and the metrics address.
 
     :param address: ``host:port`` of the statsd server, or ``None``.
 
@@ -18,11 +55,12 @@
     >>> metrics.incr("scatter.hedges")
     """
 
-    __slots__ = ("_client", "_counts")
+    __slots__ = ("_client", "_counts", "_histograms")
 
     def __init__(self, address=None):
         self._client = None
         self._counts = {}
+        self._histograms = {}
         if address is not None:
             host, _, port = address.rpartition(":")
             self._client = statsd.StatsClient(host, int(port), prefix=PREFIX)
@@ -32,6 +70,11 @@
         """All counts since the start, by name."""
         return dict(self._counts)
 
+    @property
+    def histograms(self):
+        """All :class:`Histogram` since the start, by name."""
+        return dict(self._histograms)
+
     def incr(self, name, count=1):
         """Add to a count."""
         self._counts[name] = self._counts.get(name, 0) + count
@@ -44,7 +87,11 @@
             self._client.gauge(name, value)
 
     def timing(self, name, duration_ms):
-        """Send a duration in milliseconds."""
+        """Count a duration in milliseconds, and send it."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._histograms[name] = Histogram()
+        histogram.observe(duration_ms)
         if self._client is not None:
             self._client.timing(name, duration_ms)
 
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -27,6 +27,8 @@
 # Servers that did not run the request do not count as attempts, but the sends are bounded.
 REFUSED_SENDS = 2
 HEDGE_AGAIN_MS = 30.0
+# A log line holds this many calls at most; the others were as usual or are like these.
+CALLS_TOLD = 12
 # A call that has less time than this is not worth sending.
 LEAST_CALL_MS = 5.0
 
@@ -93,6 +95,7 @@
             self._lingers = True
             return self._legs
         finally:
+            self._log_calls()
             self._end_calls()
 
     def _refuse_hopeless(self):
@@ -135,10 +138,11 @@
         leg.sent += 1
         leg.run += 1
         leg.tried.append(server.id)
-        call = Call(leg, server, (self._request.id, leg.sent), speed, now_ms)
-        late_ms = self._times.late_after_ms(self._choice.distance_ms(server), speed)
-        leg.hedge_ms = now_ms + late_ms
+        late_ms = now_ms + self._times.late_after_ms(self._choice.distance_ms(server), speed)
+        call = Call(leg, server, speed, now_ms, late_ms)
+        leg.hedge_ms = late_ms
         leg.calls.append(call)
+        leg.made.append(call)
         view.began(call, now_ms)
         call.task = asyncio.get_running_loop().create_task(self._call(call, remaining_ms))
         return True
@@ -166,6 +170,7 @@
 
     def _take_answer(self, call, answer):
         now_ms = self._clock.now_ms()
+        call.end(f"status {answer.status}", now_ms)
         server = call.server
         view = self._choice.view(server)
         if answer.status >= 500:
@@ -192,6 +197,7 @@
 
     def _take_failure(self, call, error):
         now_ms = self._clock.now_ms()
+        call.end(type(error).__name__, now_ms)
         leg = call.leg
         view = self._choice.view(call.server)
         self._log_failure(call, str(error))
@@ -213,6 +219,7 @@
 
     def _take_end(self, call):
         now_ms = self._clock.now_ms()
+        call.end("cancelled", now_ms)
         took_ms = now_ms - call.began_ms - self._choice.distance_ms(call.server)
         self._choice.view(call.server).gave_up(call, took_ms / self._times.work_ms, now_ms)
 
@@ -343,6 +350,31 @@
         missing = [leg.service for leg in self._legs if leg.answer is None]
         return DeadlinePassed(f"no answer in time of {', '.join(missing[:3])}", ran=Ran.UNKNOWN)
 
+    def _log_calls(self):
+        """Log all calls of a request whose answer is late, partial or none."""
+        now_ms = self._clock.now_ms()
+        is_whole = self._lingers and self._in == len(self._legs)
+        if (is_whole and now_ms <= self._objective_ms) or not log.isEnabledFor(logging.INFO):
+            return
+        received_ms = self._request.received_ms
+        telling = []
+        for leg in self._legs:
+            for call in leg.made:
+                is_plain = leg.answer is not None and len(leg.made) == 1
+                if not is_plain or (call.ended_ms or now_ms) > call.late_ms:
+                    telling.append(call.describe(received_ms))
+        decide(
+            log,
+            "calls of a request",
+            self._request.id,
+            route=self._route.name,
+            answered=self._in,
+            asked=len(self._legs),
+            objective_ms=self._route.objective_ms,
+            calls=telling[:CALLS_TOLD],
+            work_ms=round(self._times.work_ms),
+        )
+
     def _log_failure(self, call, text):
         if log.isEnabledFor(logging.INFO):
             decide(
--- a/packages/auburnhollow/src/auburnhollow/relay/legs.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/legs.py
@@ -2,33 +2,53 @@
 
 
 class Call:
-    """One send to one backend server."""
+    """One send to one backend server.
 
-    __slots__ = ("began_ms", "leg", "number", "server", "speed", "task")
+    ``late_ms`` is the time at which it counts as late, ``outcome`` what came of it so far.
+    """
+
+    __slots__ = ("began_ms", "ended_ms", "late_ms", "leg", "outcome", "server", "speed", "task")
 
-    def __init__(self, leg, server, number, speed, began_ms):
+    def __init__(self, leg, server, speed, began_ms, late_ms):
         self.leg = leg
         self.server = server
-        self.number = number
         self.speed = speed
         self.began_ms = began_ms
+        self.late_ms = late_ms
+        self.ended_ms = None
+        self.outcome = "no answer yet"
         self.task = None
 
+    def describe(self, received_ms):
+        """Return the call as text; times count from the request's arrival, in milliseconds."""
+        began = round(self.began_ms - received_ms)
+        text = f"{self.leg.service} {self.server.id} at {began}: {self.outcome}"
+        if self.ended_ms is not None:
+            text += f" at {round(self.ended_ms - received_ms)}"
+        return text
+
+    def end(self, outcome, now_ms):
+        """Note what came of the call."""
+        self.outcome = outcome
+        self.ended_ms = now_ms
+
 
 class Leg:
     """What one service is asked, and what came of it.
 
-    ``answer`` is the :class:`~auburnhollow.relay.Answer` that counts, ``error`` the last failure,
-    ``run`` how many servers may have run the request, ``sent`` how often it was sent, ``tried``
-    the ids of the servers, ``hedge_ms`` when another server is to be asked.
+    ``made`` lists all calls, ``calls`` those in progress. ``answer`` is the
+    :class:`~auburnhollow.relay.Answer` that counts, ``error`` the last failure, ``run`` how many
+    servers may have run the request, ``sent`` how often it was sent, ``tried`` the ids of the
+    servers, ``hedge_ms`` when another server is to be asked.
     """
 
-    __slots__ = ("answer", "calls", "error", "hedge_ms", "run", "sent", "service", "tried")
+    __slots__ = ("answer", "calls", "error", "hedge_ms", "made", "run", "sent", "service", "tried")
 
     def __init__(self, service):
         self.service = service
         self.answer = None
         self.calls = []
+        self.made = []
         self.error = None
         self.hedge_ms = None
         self.run = 0
