--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -73,7 +73,7 @@
 async def listening(node, front, inner, sockets):
     """Serve callers, and the balancer's and operators' questions, for the length of the block."""
     await node.start()
-    front.idle_ms = lambda: node.routes.limits.idle_ms if node.routes else None
+    front.limits = lambda: node.routes.limits if node.routes else None
     await inner.listen(sockets.inner)
     await front.listen(sockets.front)
     try:
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/server.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/server.py
@@ -11,18 +11,46 @@
 IDLE_SHARE = 1.25
 
 
+TOO_LONG = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\ncontent-length: 0\r\n"
+    b"connection: close\r\n\r\n"
+)
+TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+
+
 class PassingProtocol(HttpToolsProtocol):
-    """A connection that ends the work on a request when its caller leaves."""
+    """A connection that bounds what its caller sends, and ends its work when the caller leaves.
 
-    def _start_asgi_task(self, cycle, app):
-        task = self.loop.create_task(cycle.run_asgi(app))
-        cycle.task = task
-        task.add_done_callback(self.tasks.discard)
-        self.tasks.add(task)
+    ``limits`` is the :class:`~auburnhollow.routes.FrontLimits` in force, or ``None``.
+    """
+
+    limits = None
+
+    def connection_made(self, transport):
+        """Give the caller a bounded time for its first request."""
+        super().connection_made(transport)
+        self._head_bytes = 0
+        self._head_timer = None
+        self._await_head()
+
+    def data_received(self, data):
+        """Take bytes; close the connection when a head is too long or takes too long."""
+        is_head = self.cycle is None or self.cycle.response_complete
+        super().data_received(data)
+        if not is_head:
+            return
+        if self._has_head():
+            self._end_head()
+            return
+        self._await_head()
+        self._head_bytes += len(data)
+        if self.limits is not None and self._head_bytes > self.limits.header_bytes:
+            self._close_with(TOO_LONG)
 
     def connection_lost(self, exc):
         """End the work on the request that nobody waits for any more."""
         super().connection_lost(exc)
+        self._end_head()
         self._unset_keepalive_if_required()
         cycle = self.cycle
         if cycle is not None and not cycle.response_complete:
@@ -30,14 +58,43 @@
             if task is not None:
                 task.cancel()
 
+    def _start_asgi_task(self, cycle, app):
+        task = self.loop.create_task(cycle.run_asgi(app))
+        cycle.task = task
+        task.add_done_callback(self.tasks.discard)
+        self.tasks.add(task)
+
+    def _has_head(self):
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _await_head(self):
+        if self._head_timer is None and self.limits is not None:
+            seconds = self.limits.header_ms / 1000
+            self._head_timer = self.loop.call_later(seconds, self._close_with, TOO_SLOW)
+
+    def _end_head(self):
+        self._head_bytes = 0
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _close_with(self, answer):
+        self._end_head()
+        if not self.transport.is_closing():
+            self.transport.write(answer)
+            self.transport.close()
+
 
 class PassingServer:
     """Serves an ASGI application on several addresses, and stops without cutting requests.
 
+    ``limits`` is a function that returns the :class:`~auburnhollow.routes.FrontLimits` in force, or
+    ``None``.
+
     :param app: the ASGI application.
     """
 
-    __slots__ = ("_config", "_listeners", "_state", "idle_ms")
+    __slots__ = ("_config", "_listeners", "_state", "limits")
 
     def __init__(self, app):
         self._config = uvicorn.Config(
@@ -54,7 +111,7 @@
         self._config.load()
         self._state = ServerState()
         self._listeners = []
-        self.idle_ms = lambda: None
+        self.limits = lambda: None
 
     @property
     def connections(self):
@@ -89,7 +146,9 @@
 
     def _protocol(self):
         protocol = PassingProtocol(config=self._config, server_state=self._state, app_state={})
-        idle_ms = self.idle_ms()
+        limits = self.limits()
+        idle_ms = None if limits is None else limits.idle_ms
+        protocol.limits = limits
         protocol.timeout_keep_alive = (
             KEEP_ALIVE_S if idle_ms is None else idle_ms * IDLE_SHARE / 1000
         )
--- a/packages/auburnhollow/src/auburnhollow/exposition.py
+++ b/packages/auburnhollow/src/auburnhollow/exposition.py
@@ -52,4 +52,4 @@
 
 
 def _full(name):
-    return f"{PREFIX}_{name.replace('.', '_')}"
+    return f"{PREFIX}_{name.replace('.', '_').replace('-', '_')}"
