--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 PACKAGES = packages/auburnhollow packages/auburnhollow-node packages/auburnhollow-operator platform standins
 
-.PHONY: setup test demo bench format lint check-capacity
+.PHONY: setup test demo soak bench format lint check-capacity
 
 setup: $(VENV)/.ready
 
@@ -30,3 +30,6 @@
 
 bench: setup
 	$(BIN)/python -m bench short
+
+soak: setup
+	$(BIN)/python -m auburnhollow_platform_standin.soak --seeds 5
