--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -6,6 +6,8 @@
 SAME_CENTRE_MS = 1.0
 SAME_REGION_MS = 8.0
 OTHER_REGION_MS = 25.0
+# Links between regions are costly: a call takes one only where that is clearly faster.
+OTHER_REGION_COST_MS = 15.0
 # A server that fails is better than none, so it costs time but is not ruled out.
 EJECTED_MS = 5_000.0
 # What a failed call costs its request: the way there and back, and a repeat of the budget.
@@ -120,7 +122,7 @@
         view = self.view(server)
         busy = view.busy(now_ms)
         work_ms = work_ms * view.speed(now_ms) * (1.0 + BLUR * self._random.random())
-        cost_ms = self.distance_ms(server) + work_ms
+        cost_ms = self.distance_ms(server) + self._link_cost_ms(server) + work_ms
         if busy >= server.slots:
             cost_ms += work_ms * (busy + 1 - server.slots) / server.slots
         cost_ms += view.lateness_ms(now_ms) + view.trouble(now_ms) * TROUBLE_MS
@@ -131,6 +133,10 @@
             cost_ms += EJECTED_MS
         return cost_ms
 
+    def _link_cost_ms(self, server):
+        region = self._regions.get(self._data_centre)
+        return 0.0 if self._regions.get(server.data_centre) == region else OTHER_REGION_COST_MS
+
     def _first_distance_ms(self, data_centre):
         if data_centre == self._data_centre:
             return SAME_CENTRE_MS
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -266,7 +266,7 @@
                 continue
             leg.hedge_ms = None
             for call in leg.calls:
-                self._choice.view(call.server).late(now_ms)
+                self._choice.view(call.server).late(call.began_ms)
             if not self._route.repeatable or leg.run >= self._route.attempts:
                 continue
             if self._quarantine.is_suspect(self._fingerprint):
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_parts.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_parts.py
@@ -88,6 +88,19 @@
     assert choice.choose(servers, WORK_MS).id == "near"
 
 
+def test_a_slightly_faster_server_does_not_pay_for_a_link_between_regions():
+    clock = ManualClock()
+    choice = choice_of(clock)
+    near = a_server("near")
+    far = a_server("far", data_centre="iasi")
+    for number in range(20):
+        for server, ratio in ((near, 1.3), (far, 0.6)):
+            choice.view(server).began(number, clock.now_ms())
+            clock.advance(30.0)
+            choice.view(server).answered(number, ratio, None, clock.now_ms())
+    assert choice.choose([far, near], 42.0).id == "near"
+
+
 def test_a_full_server_is_left_to_others():
     clock = ManualClock()
     choice = choice_of(clock)
--- a/packages/auburnhollow/src/auburnhollow/relay/views.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -72,7 +72,10 @@
         return len(self.calls)
 
     def lateness_ms(self, now_ms):
-        """Return for how long a call has been late that has not ended yet."""
+        """Return how long a late call has lasted that has not ended yet.
+
+        As long again is what can be expected of what holds it up.
+        """
         if self._late_since_ms is None:
             return 0.0
         return now_ms - self._late_since_ms
@@ -85,10 +88,13 @@
         """Note a call that begins."""
         self.calls[call] = now_ms
 
-    def late(self, now_ms):
-        """Note that a call in progress takes longer than nearly all do."""
+    def late(self, began_ms):
+        """Note that a call in progress takes longer than nearly all do.
+
+        :param began_ms: when it began.
+        """
         if self._late_since_ms is None:
-            self._late_since_ms = now_ms
+            self._late_since_ms = began_ms
 
     def answered(self, call, ratio, load, now_ms):
         """Note an answer.
