--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -16,6 +16,7 @@
     Ran,
 )
 from ..quarantine import fingerprint_of
+from . import telling
 from .legs import Call, Leg
 
 log = logging.getLogger("relay")
@@ -27,8 +28,6 @@
 # Servers that did not run the request do not count as attempts, but the sends are bounded.
 REFUSED_SENDS = 2
 HEDGE_AGAIN_MS = 30.0
-# A log line holds this many calls at most; the others were as usual or are like these.
-CALLS_TOLD = 12
 # A call that has less time than this is not worth sending.
 LEAST_CALL_MS = 5.0
 
@@ -95,7 +94,7 @@
             self._lingers = True
             return self._legs
         finally:
-            self._log_calls()
+            self._tell_calls()
             self._end_calls()
 
     def _refuse_hopeless(self):
@@ -117,7 +116,8 @@
         now_ms = self._clock.now_ms()
         open_legs = sum(1 for leg in self._legs if not leg.is_over)
         if self._in >= self._least and (open_legs == 0 or now_ms >= self._objective_ms):
-            self._log_partial(now_ms)
+            age_ms = round(now_ms - self._request.received_ms)
+            telling.partial(self._request.id, self._legs, age_ms)
             return True
         if self._in + open_legs < self._least:
             raise self._failure()
@@ -174,7 +174,7 @@
         server = call.server
         view = self._choice.view(server)
         if answer.status >= 500:
-            self._log_failure(call, f"status {answer.status}")
+            telling.failure(self._request.id, call, f"status {answer.status}")
             self._note_failure(view, call, now_ms)
         else:
             work_ms = now_ms - call.began_ms - self._choice.distance_ms(server)
@@ -200,7 +200,7 @@
         call.end(type(error).__name__, now_ms)
         leg = call.leg
         view = self._choice.view(call.server)
-        self._log_failure(call, str(error))
+        telling.failure(self._request.id, call, str(error))
         if error.ran is Ran.NO:
             leg.run -= 1
         if isinstance(error, BackendReplaced):
@@ -223,6 +223,14 @@
         took_ms = now_ms - call.began_ms - self._choice.distance_ms(call.server)
         self._choice.view(call.server).gave_up(call, took_ms / self._times.work_ms, now_ms)
 
+    def _tell_calls(self):
+        """Log the calls of a request whose answer is late, partial or none."""
+        now_ms = self._clock.now_ms()
+        is_whole = self._lingers and self._in == len(self._legs)
+        if is_whole and now_ms <= self._objective_ms:
+            return
+        telling.calls(self._request, self._route, self._legs, self._times.work_ms, now_ms)
+
     def _note_failure(self, view, call, now_ms, is_certain=False):
         duration_ms = view.failed(call, now_ms, is_certain)
         if duration_ms > 0:
@@ -287,17 +295,8 @@
         if not self._send(leg):
             return False
         dispatcher.metrics.incr("relay.hedges" if text == "hedge sent" else "relay.retries")
-        if log.isEnabledFor(logging.INFO):
-            decide(
-                log,
-                text,
-                self._request.id,
-                service=leg.service,
-                server=leg.tried[-1],
-                tried=leg.sent,
-                age_ms=round(self._clock.now_ms() - self._request.received_ms),
-                budget_left=budget.left,
-            )
+        age_ms = round(self._clock.now_ms() - self._request.received_ms)
+        telling.repeat(self._request.id, text, leg, age_ms, budget.left)
         return True
 
     async def _wait(self):
@@ -349,52 +348,3 @@
             return self._dispatcher.unavailable("no server took the request in time")
         missing = [leg.service for leg in self._legs if leg.answer is None]
         return DeadlinePassed(f"no answer in time of {', '.join(missing[:3])}", ran=Ran.UNKNOWN)
-
-    def _log_calls(self):
-        """Log all calls of a request whose answer is late, partial or none."""
-        now_ms = self._clock.now_ms()
-        is_whole = self._lingers and self._in == len(self._legs)
-        if (is_whole and now_ms <= self._objective_ms) or not log.isEnabledFor(logging.INFO):
-            return
-        received_ms = self._request.received_ms
-        telling = []
-        for leg in self._legs:
-            for call in leg.made:
-                is_plain = leg.answer is not None and len(leg.made) == 1
-                if not is_plain or (call.ended_ms or now_ms) > call.late_ms:
-                    telling.append(call.describe(received_ms))
-        decide(
-            log,
-            "calls of a request",
-            self._request.id,
-            route=self._route.name,
-            answered=self._in,
-            asked=len(self._legs),
-            objective_ms=self._route.objective_ms,
-            calls=telling[:CALLS_TOLD],
-            work_ms=round(self._times.work_ms),
-        )
-
-    def _log_failure(self, call, text):
-        if log.isEnabledFor(logging.INFO):
-            decide(
-                log,
-                "call failed",
-                self._request.id,
-                server=call.server.id,
-                service=call.leg.service,
-                error=text,
-                took_ms=round(self._clock.now_ms() - call.began_ms),
-            )
-
-    def _log_partial(self, now_ms):
-        missing = [leg for leg in self._legs if leg.answer is None]
-        decide(
-            log,
-            "partial answer",
-            self._request.id,
-            answered=self._in,
-            asked=len(self._legs),
-            missing=[leg.service for leg in missing[:5]],
-            age_ms=round(now_ms - self._request.received_ms),
-        )
