--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(BIN)/python -m pytest --known-red=KNOWN-RED.txt
 
 demo: setup
+	$(BIN)/python -m auburnhollow_platform_standin.demo
 	$(BIN)/python -m auburnhollow_standins.demo $(if $(KEEP),--keep)
 
 bench: setup
