Revert the passing on of whole queries

It never came into play on the grown sites: each data centre there has half of the shards. What would help is to pass on the missing half of a query as one ask, and to merge what comes back; listed in docs/FINDINGS.md.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -21,7 +21,6 @@
 from auburnhollow.relay import Dispatcher, DispatchSettings
 from auburnhollow.relay.choice import Choice
 from auburnhollow.relay.fanout import ANSWER_MS
-from auburnhollow.relay.forward import Forwarder, ForwardServer, GatherAsk
 from auburnhollow.retry import spread_ms
 from auburnhollow.servers import ServerRegistry
 
@@ -57,7 +56,6 @@
         "events",
         "fleet",
         "follower",
-        "forwarder",
         "is_stopping",
         "metrics",
         "peer_server",
@@ -102,17 +100,6 @@
         self.follower = Follower(
             shared, self.registry, self.clock, self._random, self.dispatcher.forget
         )
-        self.forwarder = Forwarder(
-            self.peers,
-            self.fleet.membership,
-            self.registry,
-            settings.data_centre,
-            settings.regions,
-            self.clock,
-            self._random,
-        )
-        forwards = ForwardServer(self.handle_near, lambda: self.is_ready, self.clock)
-        self.peer_server.on(GatherAsk, forwards.answer)
         changes = ChangeServer(self.follower, shared, self.clock)
         self.peer_server.on(ChangesAsk, changes.answer)
         neighbours = Neighbours(self.follower, self.peers, self._other_nodes, self._random)
@@ -162,15 +149,9 @@
         await self.peer_server.close()
         await self.peers.close()
 
-    async def handle_near(self, request):
-        """Answer a request that another node has passed on, by this node's own calls."""
-        return await self.handle(request, may_forward=False)
-
-    async def handle(self, request, may_forward=True):
+    async def handle(self, request):
         """Answer one request.
 
-        :param may_forward: whether a node nearer to the shards may be asked.
-
         :param request: :class:`~auburnhollow.relay.Request`.
         :returns: an :class:`~auburnhollow.relay.Answer` or :class:`~auburnhollow.relay.Merged`.
         :raises QueryError: with ``ran`` true to what servers may have done.
@@ -181,7 +162,7 @@
             if self.routes is None:
                 await self._wait_first_read(request)
             route = self._route(request)
-            answer = await self._dispatch(request, route, may_forward)
+            answer = await self._dispatch(request, route)
         except QueryError as error:
             self._log_error(request, route, error)
             raise
@@ -292,14 +273,10 @@
             raise NoRoute(f"no route for {request.host} in version {table.version}")
         return route
 
-    async def _dispatch(self, request, route, may_forward):
+    async def _dispatch(self, request, route):
         limit_ms = request.received_ms + route.time_limit_ms
         request.limit_ms = min(limit_ms, request.limit_ms - ANSWER_MS)
         if route.shards:
-            merged = await self.forwarder.gather(request, route) if may_forward else None
-            if merged is not None:
-                self.metrics.incr("relay.forwarded")
-                return merged
             return await self.dispatcher.gather(request, route)
         service = self.routes.branch(route, self._random)
         return await self.dispatcher.pass_on(request, route, service)
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -82,10 +82,6 @@
     """Another node could not be reached or did not answer in time."""
 
 
-class PeerUnreachable(PeerError):
-    """No connection to another node could be opened; it was told nothing."""
-
-
 class ProtocolError(PeerError):
     """A peer sent what is not a message."""
 
--- a/packages/auburnhollow/src/auburnhollow/peers/codec.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/codec.py
@@ -43,13 +43,6 @@
     __slots__ = ()
 
 
-@register("cancel")
-class Cancel(Message):
-    """The asker no longer waits for the answer to its question ``number``."""
-
-    __slots__ = ("number",)
-
-
 def pack(message, number=NO_ANSWER):
     """Return the bytes of a message.
 
--- a/packages/auburnhollow/src/auburnhollow/peers/link.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/link.py
@@ -4,9 +4,9 @@
 import itertools
 import logging
 
-from ..clock import MS_PER_SECOND, Clock
-from ..exceptions import AuburnhollowError, PeerError, PeerUnreachable, ProtocolError
-from .codec import NO_ANSWER, Cancel, Done, Failure, feed, new_unpacker, pack
+from ..clock import Clock
+from ..exceptions import AuburnhollowError, PeerError, ProtocolError
+from .codec import NO_ANSWER, Done, Failure, feed, new_unpacker, pack
 
 log = logging.getLogger("peers")
 
@@ -34,11 +34,6 @@
         raise NotImplementedError
 
 
-def _expire(waiter):
-    if not waiter.done():
-        waiter.set_exception(TimeoutError())
-
-
 class _Connection:
     """A connection to one peer and the questions that wait on it."""
 
@@ -67,39 +62,6 @@
         self._opening = {}
         self._tasks = set()
 
-    async def ask_until_left(self, address, message, timeout_ms):
-        """Send a message and return the answer; the peer learns when the asker is cancelled.
-
-        :raises PeerUnreachable: when the message was not sent.
-        :raises PeerError: when there is no answer in time; the peer may have acted on it.
-        """
-        try:
-            async with self._clock.timeout(CONNECT_TIMEOUT_MS):
-                connection = await self._connection(address)
-        except (TimeoutError, OSError) as error:
-            raise PeerUnreachable(f"{address}: {error!r}") from error
-        loop = asyncio.get_running_loop()
-        number = next(connection.numbers)
-        waiter = loop.create_future()
-        connection.waiting[number] = waiter
-        timer = loop.call_later(timeout_ms / MS_PER_SECOND, _expire, waiter)
-        try:
-            self._write(connection, pack(message, number))
-            return await waiter
-        except TimeoutError:
-            if self._connections.get(address) is connection:
-                self._drop(address)
-            raise PeerError(f"{address}: no answer in {timeout_ms:.0f} ms") from None
-        except OSError as error:
-            raise PeerError(f"{address}: {error!r}") from error
-        except asyncio.CancelledError:
-            if not connection.writer.is_closing():
-                self._write(connection, pack(Cancel(number=number)))
-            raise
-        finally:
-            timer.cancel()
-            connection.waiting.pop(number, None)
-
     async def ask(self, address, message, timeout_ms):
         """Send a message and return the answer."""
         try:
@@ -212,12 +174,6 @@
                 waiter.set_exception(ConnectionError(f"{address}: connection lost"))
 
 
-def _cancel(answers, number):
-    for answer, asked in answers.items():
-        if asked == number:
-            answer.cancel()
-
-
 class PeerServer:
     """Takes messages from other nodes, one task for each connection.
 
@@ -266,7 +222,7 @@
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
-        answers = {}
+        answers = set()
         try:
             await self._read(reader, writer, answers)
         except ProtocolError as error:
@@ -289,14 +245,11 @@
             self._metrics.incr("peers.received_bytes", len(data))
             for message, number in feed(unpacker, data):
                 self._metrics.incr("peers.received")
-                if isinstance(message, Cancel):
-                    _cancel(answers, message.number)
-                    continue
                 while len(answers) >= MOST_IN_PROGRESS:
                     await asyncio.wait(answers, return_when=asyncio.FIRST_COMPLETED)
                 answer = asyncio.create_task(self._answer(writer, message, number))
-                answers[answer] = number
-                answer.add_done_callback(answers.pop)
+                answers.add(answer)
+                answer.add_done_callback(answers.discard)
 
     async def _answer(self, writer, message, number):
         answer = await self.handle(message)
