Survive a reload signal during the start

It is ignored from the first line on; the soak sends it as soon as the sockets are open. The test fails without the line.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/__main__.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/__main__.py
@@ -1,6 +1,7 @@
 """Run a node that passes requests on: ``python -m auburnhollow_node.relay SETTINGS``."""
 
 import gc
+import signal
 import sys
 
 from auburnhollow.exceptions import SettingsError
@@ -14,6 +15,8 @@
 
 def main():
     """Run the program."""
+    # Until settings can be read again, the signal to do so must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if len(sys.argv) != 2:
         sys.exit("usage: python -m auburnhollow_node.relay SETTINGS")
     path = sys.argv[1]
