Ask shards through a few nodes of their data centre

Cause: on the grown sites each data centre has half of the shards, and a node sees one query in three seconds.

Change: a node sends one subquery for the shards of a data centre to a node there, which asks them, hedges, and sends back the greatest records in one message. Where nodes see few queries, two nodes of a data centre take all of them; more, up to all, as queries grow. Links carry questions with several answers.

Ruled out: passing on whole queries, since no data centre has all shards.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -101,7 +101,7 @@
             await kill.wait()
     front.stop_listening()
     front.close_idle()
-    while front.connections and not kill.is_set():
+    while (front.connections or node.in_progress) and not kill.is_set():
         if node.clock.now_ms() - started_ms > settings.shutdown_ms:
             decide(log, "requests cut by the end of the grace period", count=node.in_progress)
             return
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -19,8 +19,10 @@
 from auburnhollow.quarantine import Quarantine
 from auburnhollow.quarantine.spread import DeathSpread
 from auburnhollow.relay import Dispatcher, DispatchSettings
+from auburnhollow.relay.aggregation import SubqueryServer
 from auburnhollow.relay.choice import Choice
 from auburnhollow.relay.fanout import ANSWER_MS
+from auburnhollow.relay.subquery import Aggregators, SubqueryAsk, SubqueryRepeats
 from auburnhollow.retry import spread_ms
 from auburnhollow.servers import ServerRegistry
 
@@ -50,6 +52,7 @@
     __slots__ = (
         "_in_progress",
         "_random",
+        "_subqueries",
         "_tasks",
         "clock",
         "dispatcher",
@@ -83,7 +86,7 @@
                 settings.regions,
                 self.clock,
                 self._random,
-                self._count_nodes,
+                self._count_askers,
             ),
             self.clock,
             self._random,
@@ -95,7 +98,11 @@
                 retry_slack=settings.retry_slack,
             ),
             self._count_nodes,
+            Aggregators(self.peers, self.fleet.membership, self.clock),
         )
+        self._subqueries = SubqueryServer(self.dispatcher, lambda: self.is_ready)
+        self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
+        self.peer_server.on(SubqueryRepeats, self._subqueries.allow_repeats)
         shared = SharedFeed(feed, self.peers, self.fleet.membership, self.clock, self._random)
         self.follower = Follower(
             shared, self.registry, self.clock, self._random, self.dispatcher.forget
@@ -118,8 +125,8 @@
 
     @property
     def in_progress(self):
-        """How many requests are being answered."""
-        return self._in_progress
+        """How many requests and subqueries are being answered."""
+        return self._in_progress + self._subqueries.in_progress
 
     async def start(self):
         """Join the fleet and begin to follow the store."""
@@ -247,6 +254,9 @@
     def _ranks_first_for(self, fingerprint):
         return first_ranked(fingerprint, self.fleet.membership.present()) == self.settings.id
 
+    def _count_askers(self):
+        return self.dispatcher.aggregators.askers()
+
     def _count_nodes(self):
         return len(self.fleet.membership.present())
 
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -82,6 +82,14 @@
     """Another node could not be reached or did not answer in time."""
 
 
+class PeerUnreachable(PeerError):
+    """No connection to another node could be opened; it was told nothing."""
+
+
+class PeerRefused(PeerError):
+    """Another node said that it does not do what it was asked."""
+
+
 class ProtocolError(PeerError):
     """A peer sent what is not a message."""
 
--- a/packages/auburnhollow/src/auburnhollow/peers/codec.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/codec.py
@@ -17,6 +17,11 @@
 
     __slots__ = ()
 
+    @property
+    def is_last(self):
+        """Whether no other answer to the same question follows this one."""
+        return True
+
 
 def register(name):
     """Class decorator: let a :class:`Message` travel under ``name``."""
@@ -43,6 +48,13 @@
     __slots__ = ()
 
 
+@register("cancel")
+class Cancel(Message):
+    """The asker wants no more answers to its question ``number``."""
+
+    __slots__ = ("number",)
+
+
 def pack(message, number=NO_ANSWER):
     """Return the bytes of a message.
 
--- a/packages/auburnhollow/src/auburnhollow/peers/link.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/link.py
@@ -3,10 +3,17 @@
 import asyncio
 import itertools
 import logging
+from contextlib import aclosing
 
 from ..clock import Clock
-from ..exceptions import AuburnhollowError, PeerError, ProtocolError
-from .codec import NO_ANSWER, Done, Failure, feed, new_unpacker, pack
+from ..exceptions import (
+    AuburnhollowError,
+    PeerError,
+    PeerRefused,
+    PeerUnreachable,
+    ProtocolError,
+)
+from .codec import NO_ANSWER, Cancel, Done, Failure, feed, new_unpacker, pack
 
 log = logging.getLogger("peers")
 
@@ -29,21 +36,72 @@
         """
         raise NotImplementedError
 
+    def stream(self, address, message, first_ms):
+        """Send a message and yield its answers, as an asynchronous generator.
+
+        The peer learns when the generator is closed before the last answer.
+
+        :param first_ms: longest time to connect, and from there to the first answer.
+        :raises PeerUnreachable: when the message was not sent.
+        :raises PeerRefused: when the peer does not do it.
+        :raises PeerError: when answers are missing; the peer may have acted on the message.
+        """
+        raise NotImplementedError
+
     def tell(self, address, message):
         """Send a message, if it can be sent; nobody learns whether it arrived."""
         raise NotImplementedError
 
 
+class _Question:
+    """A message that waits for its answers; ``is_silent`` until the first has come."""
+
+    __slots__ = ("_answers", "is_silent")
+
+    def __init__(self):
+        self._answers = asyncio.Queue()
+        self.is_silent = True
+
+    def take(self, answer):
+        """Take an answer, or the error that ends them."""
+        self.is_silent = False
+        self._answers.put_nowait(answer)
+
+    async def next(self):
+        """Return the next answer, or raise the error."""
+        answer = await self._answers.get()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
 class _Connection:
-    """A connection to one peer and the questions that wait on it."""
+    """A connection to one peer and the questions that wait on it.
+
+    A connection that ``is_retired`` takes no new questions and ends with its last one.
+    """
 
-    __slots__ = ("numbers", "reader_task", "waiting", "writer")
+    __slots__ = ("is_retired", "numbers", "reader_task", "waiting", "writer")
 
     def __init__(self, writer):
         self.writer = writer
         self.numbers = itertools.count(NO_ANSWER + 1)
         self.waiting = {}
         self.reader_task = None
+        self.is_retired = False
+
+    def ask(self):
+        """Return the number of a new question and the question."""
+        number = next(self.numbers)
+        question = _Question()
+        self.waiting[number] = question
+        return number, question
+
+    def end(self, number):
+        """Forget a question."""
+        self.waiting.pop(number, None)
+        if self.is_retired and not self.waiting:
+            self.writer.close()
 
 
 class PeerLink(Peers):
@@ -73,9 +131,41 @@
         except OSError as error:
             raise PeerError(f"{address}: {error!r}") from error
         if isinstance(answer, Failure):
-            raise PeerError(f"{address}: {answer.text}")
+            raise PeerRefused(f"{address}: {answer.text}")
         return answer
 
+    async def stream(self, address, message, first_ms):
+        """Send a message and yield its answers."""
+        try:
+            async with self._clock.timeout(first_ms):
+                connection = await self._connection(address)
+        except OSError as error:
+            raise PeerUnreachable(f"{address}: {error!r}") from error
+        number, question = connection.ask()
+        is_over = False
+        try:
+            self._write(connection, pack(message, number))
+            async with self._clock.timeout(first_ms):
+                answer = await question.next()
+            while True:
+                is_over = answer.is_last
+                if isinstance(answer, Failure):
+                    raise PeerRefused(f"{address}: {answer.text}")
+                yield answer
+                if is_over:
+                    return
+                answer = await question.next()
+        except TimeoutError:
+            # What is silent for so long may be so for good; other questions may have been heard.
+            self._retire(address, connection)
+            raise PeerError(f"{address}: no answer in {first_ms:.0f} ms") from None
+        except OSError as error:
+            raise PeerError(f"{address}: {error!r}") from error
+        finally:
+            if not is_over and not connection.writer.is_closing():
+                self._write(connection, pack(Cancel(number=number)))
+            connection.end(number)
+
     def tell(self, address, message):
         """Send a message without an answer."""
         task = asyncio.get_running_loop().create_task(self._tell(address, message))
@@ -99,19 +189,17 @@
             self._metrics.incr("peers.lost")
 
     async def _exchange(self, address, connection, message):
-        number = next(connection.numbers)
-        waiter = asyncio.get_running_loop().create_future()
-        connection.waiting[number] = waiter
+        number, question = connection.ask()
         try:
             self._write(connection, pack(message, number))
-            return await waiter
+            return await question.next()
         except asyncio.CancelledError:
             # A connection that does not answer may have gone silent: the next call opens anew.
-            if self._connections.get(address) is connection and not waiter.done():
+            if self._connections.get(address) is connection and question.is_silent:
                 self._drop(address)
             raise
         finally:
-            connection.waiting.pop(number, None)
+            connection.end(number)
 
     def _write(self, connection, data):
         self._metrics.incr("peers.sent")
@@ -143,7 +231,11 @@
         )
         self._connections[address] = connection
         while len(self._connections) > MOST_CONNECTIONS:
-            self._drop(next(iter(self._connections)))
+            oldest = next(iter(self._connections))
+            if self._connections[oldest].waiting:
+                self._retire(oldest, self._connections[oldest])
+                continue
+            self._drop(oldest)
         return connection
 
     async def _read(self, address, reader, connection):
@@ -152,9 +244,9 @@
             while data := await reader.read(READ_BYTES):
                 self._metrics.incr("peers.received_bytes", len(data))
                 for message, number in feed(unpacker, data):
-                    waiter = connection.waiting.get(number)
-                    if waiter is not None and not waiter.done():
-                        waiter.set_result(message)
+                    question = connection.waiting.get(number)
+                    if question is not None:
+                        question.take(message)
         except (OSError, ProtocolError) as error:
             log.warning("peers: connection to %s ended: %s", address, error)
         finally:
@@ -168,10 +260,22 @@
         if connection.reader_task is not asyncio.current_task():
             connection.reader_task.cancel()
 
+    def _retire(self, address, connection):
+        """Let the next question open a new connection; those in progress keep the old one."""
+        if self._connections.get(address) is connection:
+            del self._connections[address]
+        connection.is_retired = True
+
     def _fail(self, connection, address):
-        for waiter in connection.waiting.values():
-            if not waiter.done():
-                waiter.set_exception(ConnectionError(f"{address}: connection lost"))
+        for question in connection.waiting.values():
+            question.take(ConnectionError(f"{address}: connection lost"))
+
+
+def _cancel(answers, number):
+    """Cancel the tasks that answer the question ``number``."""
+    for task, asked in list(answers.items()):
+        if asked == number:
+            task.cancel()
 
 
 class PeerServer:
@@ -183,10 +287,11 @@
     >>> await server.start("10.0.0.5", 8100)
     """
 
-    __slots__ = ("_handlers", "_metrics", "_server", "_tasks")
+    __slots__ = ("_handlers", "_metrics", "_server", "_streams", "_tasks")
 
     def __init__(self, metrics):
         self._handlers = {}
+        self._streams = {}
         self._metrics = metrics
         self._server = None
         self._tasks = set()
@@ -198,6 +303,14 @@
         """
         self._handlers[message_type] = handler
 
+    def on_stream(self, message_type, handler):
+        """Let ``handler`` answer messages of one type several times.
+
+        :param handler: asynchronous generator function of the message that yields the answers; it
+            is closed when the asker wants no more.
+        """
+        self._streams[message_type] = handler
+
     async def start(self, host, port):
         """Listen."""
         self._server = await asyncio.start_server(self._serve, host, port)
@@ -222,7 +335,7 @@
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
-        answers = set()
+        answers = {}
         try:
             await self._read(reader, writer, answers)
         except ProtocolError as error:
@@ -245,17 +358,34 @@
             self._metrics.incr("peers.received_bytes", len(data))
             for message, number in feed(unpacker, data):
                 self._metrics.incr("peers.received")
+                if isinstance(message, Cancel):
+                    _cancel(answers, message.number)
+                    continue
                 while len(answers) >= MOST_IN_PROGRESS:
                     await asyncio.wait(answers, return_when=asyncio.FIRST_COMPLETED)
                 answer = asyncio.create_task(self._answer(writer, message, number))
-                answers.add(answer)
-                answer.add_done_callback(answers.discard)
+                answers[answer] = number
+                answer.add_done_callback(answers.pop)
 
     async def _answer(self, writer, message, number):
-        answer = await self.handle(message)
+        handler = self._streams.get(type(message))
+        if handler is None:
+            await self._send(writer, await self.handle(message), number)
+            return
+        try:
+            async with aclosing(handler(message)) as answers:
+                async for answer in answers:
+                    await self._send(writer, answer, number)
+        except AuburnhollowError as error:
+            await self._send(writer, Failure(text=f"{type(error).__name__}: {error}"), number)
+
+    async def _send(self, writer, answer, number):
         if number == NO_ANSWER or writer.is_closing():
             return
         data = pack(answer, number)
         self._metrics.incr("peers.sent_bytes", len(data))
         writer.write(data)
-        await writer.drain()
+        try:
+            await writer.drain()
+        except OSError:
+            self._metrics.incr("peers.lost")
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/peers/tests/test_streams.py
@@ -0,0 +1,175 @@
+"""Questions with several answers, over real sockets."""
+
+import asyncio
+from contextlib import aclosing
+
+import pytest
+
+from auburnhollow.exceptions import NotReady, PeerError, PeerRefused, PeerUnreachable
+from auburnhollow.membership.messages import Ack, Ping
+from auburnhollow.metrics import Metrics
+from auburnhollow.peers import Message, PeerLink, PeerServer, register
+
+HOST = "127.0.0.1"
+PATIENCE_MS = 10_000.0
+
+
+@register("test-part")
+class Part(Message):
+    """One answer of several."""
+
+    __slots__ = ("number", "is_end")
+
+    @property
+    def is_last(self):
+        """Whether it is the last one."""
+        return self.is_end
+
+
+class Pair:
+    """A server, a link to it, and how the handler of its streams ended."""
+
+    def __init__(self, handler):
+        self.server = PeerServer(Metrics())
+        self.link = PeerLink(Metrics())
+        self.server.on_stream(Ping, handler)
+        self.server.on(Part, self._echo)
+        self.address = None
+
+    async def __aenter__(self):
+        await self.server.start(HOST, 0)
+        port = self.server._server.sockets[0].getsockname()[1]
+        self.address = f"{HOST}:{port}"
+        return self
+
+    async def __aexit__(self, *_error):
+        await self.link.close()
+        await self.server.close()
+
+    async def _echo(self, message):
+        return message
+
+    def stream(self, first_ms=PATIENCE_MS, number=0):
+        ping = Ping(sender="me", digest=number, facts=[])
+        return aclosing(self.link.stream(self.address, ping, first_ms))
+
+    async def numbers(self, **options):
+        async with self.stream(**options) as answers:
+            return [answer.number async for answer in answers]
+
+
+async def three_parts(message):
+    for number in range(3):
+        yield Part(number=message.digest + number, is_end=number == 2)
+
+
+def test_all_answers_come_in_order_and_questions_do_not_mix():
+    async def run():
+        async with Pair(three_parts) as pair:
+            found = await asyncio.gather(*(pair.numbers(number=ten * 10) for ten in range(20)))
+        assert found == [[ten * 10, ten * 10 + 1, ten * 10 + 2] for ten in range(20)]
+
+    asyncio.run(run())
+
+
+def test_the_handler_ends_when_the_asker_wants_no_more():
+    async def run():
+        ended = asyncio.Event()
+
+        async def endless(_message):
+            try:
+                yield Part(number=0, is_end=False)
+                await asyncio.sleep(60)
+            finally:
+                ended.set()
+
+        async with Pair(endless) as pair:
+            async with pair.stream() as answers:
+                await anext(answers)
+            async with asyncio.timeout(PATIENCE_MS / 1000):
+                await ended.wait()
+
+    asyncio.run(run())
+
+
+def test_a_refusal_is_told_from_a_node_that_is_not_there():
+    async def refuse(_message):
+        raise NotReady("starting")
+        yield
+
+    async def run():
+        async with Pair(refuse) as pair:
+            with pytest.raises(PeerRefused, match="starting"):
+                await pair.numbers()
+            address, pair.address = pair.address, f"{HOST}:9"
+            with pytest.raises(PeerUnreachable):
+                await pair.numbers()
+            pair.address = address
+
+    asyncio.run(run())
+
+
+def test_silence_before_the_first_answer_is_an_error_and_the_next_question_opens_anew():
+    async def run():
+        asked = []
+
+        async def silent_at_first(message):
+            asked.append(message.digest)
+            if len(asked) == 1:
+                await asyncio.sleep(60)
+            yield Part(number=7, is_end=True)
+
+        async with Pair(silent_at_first) as pair:
+            with pytest.raises(PeerError, match="no answer"):
+                await pair.numbers(first_ms=50.0)
+            assert await pair.numbers() == [7]
+
+    asyncio.run(run())
+
+
+def test_a_question_in_progress_outlives_the_silence_of_another():
+    async def run():
+        go_on = asyncio.Event()
+
+        async def slow(message):
+            if message.digest == 1:
+                await asyncio.sleep(60)
+            yield Part(number=0, is_end=False)
+            await go_on.wait()
+            yield Part(number=1, is_end=True)
+
+        async with Pair(slow) as pair:
+            async with pair.stream() as answers:
+                found = [(await anext(answers)).number]
+                with pytest.raises(PeerError):
+                    await pair.numbers(first_ms=50.0, number=1)
+                go_on.set()
+                found += [answer.number async for answer in answers]
+            assert found == [0, 1]
+
+    asyncio.run(run())
+
+
+def test_a_peer_that_ends_is_an_error_after_the_first_answer_too():
+    async def run():
+        async def endless(_message):
+            yield Part(number=0, is_end=False)
+            await asyncio.sleep(60)
+
+        async with Pair(endless) as pair, pair.stream() as answers:
+            await anext(answers)
+            await pair.server.close()
+            with pytest.raises(PeerError):
+                await anext(answers)
+
+    asyncio.run(run())
+
+
+def test_single_answers_still_have_one():
+    async def run():
+        async with Pair(three_parts) as pair:
+            answer = await pair.link.ask(pair.address, Part(number=5, is_end=True), PATIENCE_MS)
+        assert answer.number == 5
+        assert Ack(node="x", digest=0).is_last
+
+    asyncio.run(run())
--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -33,7 +33,7 @@
     :param regions: dictionary of data centres to regions.
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param random: a :class:`random.Random`.
-    :param count_nodes: function that returns how many nodes there are, as far as is known.
+    :param count_nodes: function that returns how many nodes call servers, as far as is known.
     """
 
     __slots__ = (
@@ -81,12 +81,21 @@
         view = self.view(server)
         return self.distance_ms(server) + work_ms * view.speed(self._clock.now_ms())
 
+    @property
+    def data_centre(self):
+        """Where this node runs."""
+        return self._data_centre
+
     def distance_ms(self, server):
         """Return the time to the server and back, in milliseconds."""
-        distance = self._distances.get(server.data_centre)
+        return self.distance_to(server.data_centre)
+
+    def distance_to(self, data_centre):
+        """Return the time to a data centre and back, in milliseconds."""
+        distance = self._distances.get(data_centre)
         if distance is None:
-            distance = self._first_distance_ms(server.data_centre)
-            self._distances[server.data_centre] = distance
+            distance = self._first_distance_ms(data_centre)
+            self._distances[data_centre] = distance
         return distance
 
     def view(self, server):
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -35,6 +35,7 @@
     :param quarantine: :class:`~auburnhollow.quarantine.Quarantine`.
     :param settings: :class:`DispatchSettings`.
     :param count_nodes: function that returns how many nodes are known, this one included.
+    :param aggregators: :class:`~auburnhollow.relay.subquery.Aggregators`, or ``None``.
 
     >>> merged = await dispatcher.gather(request, route)
     """
@@ -45,6 +46,7 @@
         "_settings",
         "_slack",
         "_times",
+        "aggregators",
         "choice",
         "client",
         "clock",
@@ -54,8 +56,19 @@
     )
 
     def __init__(
-        self, client, registry, choice, clock, random, metrics, quarantine, settings, count_nodes
+        self,
+        client,
+        registry,
+        choice,
+        clock,
+        random,
+        metrics,
+        quarantine,
+        settings,
+        count_nodes,
+        aggregators=None,
     ):
+        self.aggregators = aggregators
         self.client = client
         self.registry = registry
         self.choice = choice
@@ -83,7 +96,8 @@
         :raises QueryError: when fewer shards have answered than the route wants.
         """
         shards = route.shards
-        fan_out = FanOut(self, request, route, shards, least=least_shards(route))
+        aggregators = self.aggregators if route.repeatable else None
+        fan_out = FanOut(self, request, route, shards, least_shards(route), aggregators)
         legs = await fan_out.run()
         bodies = []
         signatures = []
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -1,25 +1,16 @@
 """One request on its way to one server of each of several services."""
 
 import asyncio
-import logging
+import math
 
 from ..clock import MS_PER_SECOND
-from ..decisions import decide
-from ..exceptions import (
-    BackendDied,
-    BackendError,
-    BackendRefused,
-    BackendRejected,
-    BackendReplaced,
-    BackendUnreachable,
-    DeadlinePassed,
-    Ran,
-)
+from ..exceptions import BackendError, BackendRejected, DeadlinePassed, PeerRefused, Ran
 from ..quarantine import fingerprint_of
 from . import telling
 from .legs import Call, Leg
-
-log = logging.getLogger("relay")
+from .messages import Answer
+from .outcomes import Outcomes
+from .subquery import LEAST_SHARDS, Subquery, subquery_of
 
 # The answer needs this long to reach the caller from here.
 ANSWER_MS = 15.0
@@ -30,6 +21,9 @@
 HEDGE_AGAIN_MS = 30.0
 # A call that has less time than this is not worth sending.
 LEAST_CALL_MS = 5.0
+# A node that has taken a subquery tells of it well before the objective, and repeats nothing after
+# it; one that is silent for longer has most likely gone.
+OVERDUE_SHARE = 1.25
 
 
 class FanOut:
@@ -41,10 +35,15 @@
 
     :param dispatcher: :class:`~auburnhollow.relay.Dispatcher`.
     :param services: names of the services to ask.
-    :param least: how many of them must answer.
+    :param least: how many of them must answer; 0 to wait for all that may still come.
+    :param aggregators: :class:`~auburnhollow.relay.subquery.Aggregators`, ``None`` to ask every
+        server directly.
+    :param on_change: function that is called when something has come of a call.
     """
 
     __slots__ = (
+        "_aggregators",
+        "_attempts",
         "_choice",
         "_clock",
         "_dispatcher",
@@ -54,15 +53,26 @@
         "_legs",
         "_lingers",
         "_objective_ms",
+        "_on_change",
+        "_outcomes",
         "_quarantine",
+        "_repeats_end_ms",
         "_request",
         "_route",
+        "_subqueries",
         "_times",
         "_waiter",
     )
 
-    def __init__(self, dispatcher, request, route, services, least):
+    def __init__(
+        self, dispatcher, request, route, services, least, aggregators=None, on_change=None
+    ):
         self._dispatcher = dispatcher
+        self._aggregators = aggregators
+        self._on_change = on_change
+        self._subqueries = []
+        self._attempts = route.attempts
+        self._repeats_end_ms = math.inf
         self._choice = dispatcher.choice
         self._clock = dispatcher.clock
         self._request = request
@@ -70,13 +80,38 @@
         self._times = dispatcher.times(route)
         self._quarantine = dispatcher.quarantine
         self._fingerprint = fingerprint_of(route.name, request.identity)
+        self._outcomes = Outcomes(dispatcher, request, self._times, self._fingerprint)
         self._legs = [Leg(service) for service in services]
         self._least = least
         self._in = 0
         self._lingers = False
         self._objective_ms = request.received_ms + route.objective_ms - ANSWER_MS
+        if not least:
+            self._objective_ms = request.limit_ms
         self._waiter = None
 
+    @property
+    def legs(self):
+        """The list of :class:`Leg`, one for each service."""
+        return self._legs
+
+    @property
+    def is_suspect(self):
+        """Whether servers have died under the request."""
+        return self._quarantine.is_suspect(self._fingerprint)
+
+    def bound_repeats(self, attempts, end_ms=math.inf):
+        """Let each service run the request on ``attempts`` servers, none more after ``end_ms``.
+
+        Services that have failed meanwhile are asked again where that allows it.
+        """
+        self._attempts = attempts
+        self._repeats_end_ms = end_ms
+        for leg in self._legs:
+            if leg.is_over and leg.answer is None:
+                self._repeat_failed(leg)
+        self._wake()
+
     async def run(self):
         """Return the list of :class:`Leg` once enough of them are answered.
 
@@ -85,9 +120,7 @@
         try:
             self._quarantine.check(self._fingerprint)
             self._refuse_hopeless()
-            for leg in self._legs:
-                self._dispatcher.budget(leg.service).count_request()
-                self._send(leg)
+            self._send_all()
             while not self._is_settled():
                 self._send_hedges()
                 await self._wait()
@@ -125,12 +158,96 @@
             raise self._out_of_time()
         return False
 
-    def _send(self, leg):
+    def _send_all(self):
+        """Send each leg, those to another data centre together where a node there takes them."""
+        if self._aggregators is not None:
+            self._aggregators.count_request()
+        groups = {}
+        for leg in self._legs:
+            server = self._choose(leg)
+            if server is None:
+                continue
+            groups.setdefault(server.data_centre, []).append((leg, server))
+        for data_centre, pairs in groups.items():
+            if self._send_subquery(data_centre, [leg for leg, _server in pairs]):
+                continue
+            for leg, server in pairs:
+                self._dispatcher.budget(leg.service).count_request()
+                self._send(leg, server)
+        self._note_change()
+
+    def _send_subquery(self, data_centre, legs):
+        """Ask for the legs through a node of the data centre; returns whether there is one."""
+        if self._aggregators is None:
+            return False
+        now_ms = self._clock.now_ms()
+        first_ms = self._request.received_ms + self._route.objective_ms * OVERDUE_SHARE
+        if len(legs) < LEAST_SHARDS or now_ms >= first_ms:
+            return False
+        member = self._aggregators.node_in(data_centre)
+        if member is None:
+            return False
+        key = self._aggregators.new_key()
+        message = subquery_of(key, self._request, self._route, legs, now_ms)
+        subquery = Subquery(self, member, legs)
+        for leg in legs:
+            leg.run = 1
+            leg.sent = 1
+        self._subqueries.append(subquery)
+        telling.subquery(self._request.id, subquery)
+        self._dispatcher.metrics.incr("relay.subqueries")
+        work = subquery.run(self._aggregators, message, first_ms, self._clock)
+        subquery.task = asyncio.get_running_loop().create_task(work)
+        return True
+
+    def take_part(self, leg, body, signature):
+        """Take that a shard has answered a subquery; ``body`` may hold other shards' records."""
+        leg.subquery = None
+        answer = Answer(status=200, headers=(), body=body, signature=signature, load=None)
+        self._take_success(leg, answer)
+        self._wake()
+
+    def take_failed_part(self, leg, run, tried):
+        """Take that a subquery will bring no answer of a shard.
+
+        :param run: how many servers may have run the request.
+        :param tried: ids of the servers that were asked.
+        """
+        leg.subquery = None
+        leg.run = run
+        leg.tried.extend(tried)
+        leg.error = BackendRejected("no server of the shard answered", ran=Ran.UNKNOWN)
+        self._repeat_failed(leg)
+        self._wake()
+
+    def take_lost_legs(self, subquery, legs, error):
+        """Take that a subquery has ended before it told of these legs."""
+        telling.lost_subquery(self._request.id, subquery, legs, error)
+        self._dispatcher.metrics.incr("relay.subqueries_lost")
+        may_have_run = subquery.may_have_run(error)
+        for leg in legs:
+            leg.error = BackendRejected(f"{subquery.member.id}: {error}", ran=Ran.UNKNOWN)
+            if not may_have_run:
+                leg.run = 0
+                leg.sent = 0
+                self._dispatcher.budget(leg.service).count_request()
+                self._send(leg)
+                continue
+            if isinstance(error, PeerRefused):
+                continue
+            self._repeat_failed(leg)
+        self._wake()
+
+    def _choose(self, leg):
+        """Return the best server left for the leg, or ``None``."""
+        servers = self._dispatcher.registry.usable(leg.service)
+        return self._choice.choose(servers, self._times.work_ms, leg.tried)
+
+    def _send(self, leg, server=None):
         """Send the leg's request to the best server left; returns whether there was one."""
         now_ms = self._clock.now_ms()
         remaining_ms = self._request.limit_ms - now_ms
-        servers = self._dispatcher.registry.usable(leg.service)
-        server = self._choice.choose(servers, self._times.work_ms, leg.tried)
+        server = server or self._choose(leg)
         if server is None or remaining_ms < LEAST_CALL_MS:
             return False
         view = self._choice.view(server)
@@ -156,7 +273,7 @@
         except BackendError as error:
             self._take_failure(call, error)
         except asyncio.CancelledError:
-            self._take_end(call)
+            self._outcomes.ended(call)
             raise
         else:
             self._take_answer(call, answer)
@@ -167,61 +284,33 @@
                 self._repeat_failed(leg)
             if leg.answer is None or self._in >= self._least:
                 self._wake()
+            self._note_change()
 
     def _take_answer(self, call, answer):
-        now_ms = self._clock.now_ms()
-        call.end(f"status {answer.status}", now_ms)
-        server = call.server
-        view = self._choice.view(server)
-        if answer.status >= 500:
-            telling.failure(self._request.id, call, f"status {answer.status}")
-            self._note_failure(view, call, now_ms)
-        else:
-            work_ms = now_ms - call.began_ms - self._choice.distance_ms(server)
-            ratio = self._times.observe(work_ms, call.speed)
-            view.answered(call, ratio, answer.load, now_ms)
+        self._outcomes.answered(call, answer)
         leg = call.leg
         if leg.answer is not None:
             return
         if answer.is_success:
-            leg.answer = answer
-            self._in += 1
-            if self._in == 1:
-                self._quarantine.answered(self._fingerprint, leg.service)
+            self._take_success(leg, answer)
             return
         leg.error = answer
-        if self._route.shards or (answer.status >= 500 and self._may_repeat(leg)):
+        if self._route.shards or (answer.status >= 500 and self.may_repeat(leg)):
             return
         leg.answer = answer
         self._in += 1
 
+    def _take_success(self, leg, answer):
+        leg.answer = answer
+        self._in += 1
+        if self._in == 1:
+            self._quarantine.answered(self._fingerprint, leg.service)
+
     def _take_failure(self, call, error):
-        now_ms = self._clock.now_ms()
-        call.end(type(error).__name__, now_ms)
-        leg = call.leg
-        view = self._choice.view(call.server)
-        telling.failure(self._request.id, call, str(error))
+        self._outcomes.failed(call, error)
         if error.ran is Ran.NO:
-            leg.run -= 1
-        if isinstance(error, BackendReplaced):
-            view.gave_up(call, 0.0, now_ms)
-            self._dispatcher.registry.misdirected(call.server)
-        elif isinstance(error, BackendRefused):
-            view.shed(call, call.server.slots, now_ms)
-            # It ran nothing and may have room in a moment.
-            leg.tried.remove(call.server.id)
-        else:
-            if isinstance(error, BackendDied):
-                self._quarantine.died(call.server.id, leg.service, self._fingerprint)
-            is_certain = isinstance(error, BackendUnreachable)
-            self._note_failure(view, call, now_ms, is_certain)
-        leg.error = error
-
-    def _take_end(self, call):
-        now_ms = self._clock.now_ms()
-        call.end("cancelled", now_ms)
-        took_ms = now_ms - call.began_ms - self._choice.distance_ms(call.server)
-        self._choice.view(call.server).gave_up(call, took_ms / self._times.work_ms, now_ms)
+            call.leg.run -= 1
+        call.leg.error = error
 
     def _tell_calls(self):
         """Log the calls of a request whose answer is late, partial or none."""
@@ -231,27 +320,23 @@
             return
         telling.calls(self._request, self._route, self._legs, self._times.work_ms, now_ms)
 
-    def _note_failure(self, view, call, now_ms, is_certain=False):
-        duration_ms = view.failed(call, now_ms, is_certain)
-        if duration_ms > 0:
-            decide(log, "server passed over", server=call.server.id, duration_ms=duration_ms)
-            self._dispatcher.metrics.incr("relay.ejections")
-
-    def _may_repeat(self, leg):
+    def may_repeat(self, leg):
         """Return whether the leg may be sent once more, its budget left out."""
         error = leg.error
-        if self._quarantine.is_suspect(self._fingerprint):
+        if self.is_suspect:
             # What crashes servers must not be given another one.
             return False
         if not self._route.repeatable and getattr(error, "ran", Ran.YES) is not Ran.NO:
             return False
-        if leg.run >= self._route.attempts or leg.sent >= self._route.attempts + REFUSED_SENDS:
+        if leg.run >= self._attempts or leg.sent >= self._attempts + REFUSED_SENDS:
+            return False
+        if self._clock.now_ms() >= self._repeats_end_ms:
             return False
         return self._request.limit_ms - self._clock.now_ms() > LEAST_CALL_MS
 
     def _repeat_failed(self, leg):
         """Send a leg again whose calls have all failed."""
-        if leg.calls or leg.error is None or self._lingers or not self._may_repeat(leg):
+        if leg.calls or leg.error is None or self._lingers or not self.may_repeat(leg):
             self._settle_failed(leg)
             return
         if self._try_repeat(leg, "retry sent"):
@@ -277,9 +362,7 @@
                 self._choice.view(call.server).late(call.began_ms)
             if not self._route.repeatable or leg.run >= self._route.attempts:
                 continue
-            if self._quarantine.is_suspect(self._fingerprint):
-                continue
-            if not self._try_repeat(leg, "hedge sent"):
+            if not self.may_repeat(leg) or not self._try_repeat(leg, "hedge sent"):
                 leg.hedge_ms = now_ms + HEDGE_AGAIN_MS
 
     def _try_repeat(self, leg, text):
@@ -295,6 +378,7 @@
         if not self._send(leg):
             return False
         dispatcher.metrics.incr("relay.hedges" if text == "hedge sent" else "relay.retries")
+        self._note_change()
         age_ms = round(self._clock.now_ms() - self._request.received_ms)
         telling.repeat(self._request.id, text, leg, age_ms, budget.left)
         return True
@@ -317,6 +401,10 @@
             timer.cancel()
             self._waiter = None
 
+    def _note_change(self):
+        if self._on_change is not None:
+            self._on_change()
+
     def _wake(self):
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -324,6 +412,8 @@
     def _end_calls(self):
         """End what still runs: at once when the caller is gone, else after a while."""
         loop = asyncio.get_running_loop()
+        for subquery in self._subqueries:
+            subquery.task.cancel()
         for leg in self._legs:
             for call in leg.calls:
                 if self._lingers:
--- a/packages/auburnhollow/src/auburnhollow/relay/legs.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/legs.py
@@ -39,10 +39,22 @@
     ``made`` lists all calls, ``calls`` those in progress. ``answer`` is the
     :class:`~auburnhollow.relay.Answer` that counts, ``error`` the last failure, ``run`` how many
     servers may have run the request, ``sent`` how often it was sent, ``tried`` the ids of the
-    servers, ``hedge_ms`` when another server is to be asked.
+    servers, ``hedge_ms`` when another server is to be asked, ``subquery`` the
+    :class:`~auburnhollow.relay.subquery.Subquery` that the service is being asked through.
     """
 
-    __slots__ = ("answer", "calls", "error", "hedge_ms", "made", "run", "sent", "service", "tried")
+    __slots__ = (
+        "answer",
+        "calls",
+        "error",
+        "hedge_ms",
+        "made",
+        "run",
+        "sent",
+        "service",
+        "subquery",
+        "tried",
+    )
 
     def __init__(self, service):
         self.service = service
@@ -53,9 +65,10 @@
         self.hedge_ms = None
         self.run = 0
         self.sent = 0
+        self.subquery = None
         self.tried = []
 
     @property
     def is_over(self):
         """Whether nothing more will come of it."""
-        return self.answer is not None or not self.calls
+        return self.answer is not None or not (self.calls or self.subquery)
--- a/packages/auburnhollow/src/auburnhollow/relay/telling.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/telling.py
@@ -60,6 +60,33 @@
     )
 
 
+def subquery(request_id, sent):
+    """Log that shards are asked through a node near them."""
+    decide(
+        log,
+        "subquery sent",
+        request_id,
+        through=sent.member.id,
+        data_centre=sent.member.data_centre,
+        shards=len(sent.legs),
+    )
+
+
+def lost_subquery(request_id, sent, legs, error):
+    """Log that a subquery has ended before all of its shards were told of."""
+    decide(
+        log,
+        "subquery lost",
+        request_id,
+        level=logging.WARNING,
+        through=sent.member.id,
+        was_taken=sent.is_taken,
+        missing=len(legs),
+        shards=len(sent.legs),
+        error=repr(error),
+    )
+
+
 def partial(request_id, legs, age_ms):
     """Log an answer that goes out without some shards."""
     missing = [leg.service for leg in legs if leg.answer is None]
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
@@ -0,0 +1,414 @@
+"""Shards that are asked through a node of their data centre."""
+
+import asyncio
+import random
+
+import pytest
+
+from auburnhollow.exceptions import BackendDied, PeerError, Quarantined, QueryError
+from auburnhollow.membership import ALIVE, Member
+from auburnhollow.relay.aggregation import SubqueryServer
+from auburnhollow.relay.subquery import LEAST_AGGREGATORS, Aggregators
+from auburnhollow_standins.fake_peers import FakePeers, Network
+from auburnhollow_standins.fake_servers import CUT, RelayBed, a_request, a_route
+from auburnhollow_standins.virtual import VirtualClock, run_virtually
+
+HOME = "cluj"
+OTHER = "iasi"
+FAR = ("s0", "s1", "s2", "s3")
+NEAR = ("n0", "n1")
+SHARDS = NEAR + FAR
+REPLICAS = {
+    **dict.fromkeys(NEAR, (HOME, OTHER)),
+    **dict.fromkeys(FAR, (OTHER, OTHER)),
+}
+
+
+def a_member(name, data_centre):
+    return Member(
+        id=name,
+        address=name,
+        data_centre=data_centre,
+        state=ALIVE,
+        incarnation=1,
+        revision=0,
+        ready=True,
+    )
+
+
+class FakeMembership:
+    """Members that all answer."""
+
+    def __init__(self, me, *members):
+        self.me = me
+        self.members = {member.id: member for member in (me, *members)}
+        self._answering = tuple(self.members)
+
+    def answering(self):
+        return self._answering
+
+    def remove(self, name):
+        self._answering = tuple(each for each in self._answering if each != name)
+
+
+class Fleet:
+    """A node at ``HOME``, and some at ``OTHER`` that take its subqueries."""
+
+    def __init__(self, others=1, retry_ratio=1.0):
+        self.clock = VirtualClock()
+        self.network = Network(random.Random(1), delay_ms=4.0)
+        names = [f"other-{number}" for number in range(others)]
+        me = a_member("me", HOME)
+        self.membership = FakeMembership(me, *(a_member(name, OTHER) for name in names))
+        peers = FakePeers(self.network, "me", self.clock)
+        self.aggregators = Aggregators(peers, self.membership, self.clock)
+        self.me = RelayBed(REPLICAS, retry_ratio=retry_ratio, aggregators=self.aggregators)
+        self.others = {}
+        self.takers = {}
+        for name in names:
+            bed = RelayBed(REPLICAS, retry_ratio=retry_ratio, home=OTHER)
+            self.others[name] = bed
+            self.takers[name] = SubqueryServer(bed.dispatcher, lambda: True)
+            self.network.streams[name] = self.takers[name].answer
+            self.network.handlers[name] = self.takers[name].allow_repeats
+
+    @property
+    def other(self):
+        """The bed of the first node at ``OTHER``."""
+        return self.others["other-0"]
+
+    def set_behaviour(self, server, behaviour):
+        """Let a server behave alike for all nodes."""
+        for bed in (self.me, *self.others.values()):
+            bed.servers.behaviour[server] = behaviour
+
+    def allow_repeats(self):
+        """Let all budgets allow repeats."""
+        for bed in (self.me, *self.others.values()):
+            bed.allow_repeats(*SHARDS)
+
+    async def gather(self, name="r-1", **fields):
+        """Send a request for all shards and return the merged answer."""
+        route = a_route(SHARDS, **fields)
+        return await self.me.dispatcher.gather(a_request(self.clock, name), route)
+
+    def runs(self):
+        """Return how many servers each shard ran the request on."""
+        found = dict.fromkeys(SHARDS, 0)
+        for bed in (self.me, *self.others.values()):
+            for server in bed.servers.asked():
+                found[server.partition("-")[0]] += 1
+        return found
+
+
+def play(scenario, **options):
+    """Run ``scenario`` with a :class:`Fleet` in virtual time."""
+
+    async def run():
+        return await scenario(Fleet(**options))
+
+    return run_virtually(run())
+
+
+def test_shards_of_another_data_centre_come_in_one_answer():
+    async def scenario(fleet):
+        return fleet, await fleet.gather(most_records=6)
+
+    fleet, merged = play(scenario)
+    assert merged.missing == 0
+    assert sorted(fleet.me.servers.asked()) == ["n0-0", "n1-0"]
+    there = sorted(fleet.other.servers.asked())
+    assert [server.partition("-")[0] for server in there] == list(FAR)
+    records = [merged.body[at : at + 4].decode() for at in range(0, len(merged.body), 16)]
+    assert records == [*reversed(there), "n1-0", "n0-0"]
+    assert sorted(merged.signatures) == ["signed-n0-0", "signed-n1-0"] + [
+        f"signed-{server}" for server in there
+    ]
+
+
+def test_the_other_node_is_asked_with_what_time_is_left():
+    async def scenario(fleet):
+        limits = []
+        send = fleet.other.servers.send
+
+        async def note(server, request, remaining_ms):
+            limits.append((request.id, request.target, remaining_ms))
+            return await send(server, request, remaining_ms)
+
+        fleet.other.dispatcher.client = type("Client", (), {"send": staticmethod(note)})()
+        await fleet.gather()
+        return limits
+
+    for name, target, remaining_ms in play(scenario):
+        assert (name, target) == ("r-1", "/a?b=c")
+        assert 900.0 < remaining_ms <= 996.0
+
+
+def test_a_late_shard_is_hedged_by_the_node_that_asks_it():
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        fleet.set_behaviour("s2-0", 900.0)
+        return fleet, await fleet.gather(), fleet.clock.now_ms()
+
+    fleet, merged, took_ms = play(scenario)
+    assert merged.missing == 0
+    assert "s2-1" in fleet.other.servers.asked()
+    assert len(fleet.me.servers.calls) == len(NEAR)
+    assert took_ms < 200.0
+
+
+def test_parts_that_are_in_by_the_objective_are_the_answer():
+    async def scenario(fleet):
+        fleet.set_behaviour("s2-0", 900.0)
+        fleet.set_behaviour("s2-1", 900.0)
+        return await fleet.gather(), fleet.clock.now_ms()
+
+    merged, took_ms = play(scenario)
+    assert merged.missing == 1
+    assert len(merged.signatures) == len(SHARDS) - 1
+    assert 150.0 <= took_ms <= 200.0
+
+
+def test_a_part_that_comes_late_is_still_taken_when_it_is_needed():
+    async def scenario(fleet):
+        for shard in ("s1", "s2"):
+            fleet.set_behaviour(f"{shard}-0", 400.0)
+            fleet.set_behaviour(f"{shard}-1", 400.0)
+        return await fleet.gather(most_records=6)
+
+    merged = play(scenario)
+    assert merged.missing == 0
+    assert len(merged.body) == 16 * len(SHARDS)
+
+
+def test_a_node_that_is_not_there_costs_no_repeat():
+    async def scenario(fleet):
+        fleet.network.streams.clear()
+        merged = await fleet.gather()
+        return fleet, merged, fleet.clock.now_ms()
+
+    fleet, merged, took_ms = play(scenario, retry_ratio=0.0)
+    assert merged.missing == 0
+    assert took_ms < 60.0
+    assert set(fleet.runs().values()) == {1}
+
+
+def test_a_node_that_refuses_costs_no_repeat():
+    async def scenario(fleet):
+        fleet.takers["other-0"]._is_open = lambda: False
+        return fleet, await fleet.gather()
+
+    fleet, merged = play(scenario, retry_ratio=0.0)
+    assert merged.missing == 0
+    assert set(fleet.runs().values()) == {1}
+
+
+def test_a_silent_node_is_noticed_in_time_and_left_alone():
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        fleet.network.cut(["me"], ["other-0"])
+        merged = await fleet.gather()
+        took_ms = fleet.clock.now_ms()
+        await fleet.gather("r-2")
+        return fleet, merged, took_ms, fleet.clock.now_ms() - took_ms
+
+    fleet, merged, took_ms, next_ms = play(scenario)
+    assert merged.missing == 0
+    assert took_ms < 185.0
+    assert next_ms < 60.0
+
+
+def test_another_node_is_asked_while_one_is_left_alone():
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        first = fleet.aggregators.node_in(OTHER).id
+        fleet.network.cut(["me"], [first])
+        await fleet.gather()
+        taken = fleet.aggregators.node_in(OTHER).id
+        await fleet.gather("r-2")
+        return first, taken, fleet.others[taken].servers.asked()
+
+    first, taken, asked = play(scenario, others=3)
+    assert first != taken
+    assert len(asked) == len(FAR)
+
+
+class Dying:
+    """Takes subqueries and ends without a word after ``after_ms``."""
+
+    def __init__(self, fleet, name, after_ms):
+        self._answer = fleet.takers[name].answer
+        self._clock = fleet.clock
+        self._ends_ms = after_ms
+        fleet.network.streams[name] = self.answer
+
+    async def answer(self, message):
+        answers = self._answer(message)
+        try:
+            while True:
+                async with self._clock.timeout(self._ends_ms - self._clock.now_ms()):
+                    answer = await anext(answers)
+                yield answer
+        except TimeoutError:
+            raise PeerError("connection lost") from None
+        finally:
+            await answers.aclose()
+
+
+def test_shards_of_a_node_that_dies_are_asked_once_more():
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        for shard in FAR:
+            fleet.other.servers.behaviour[f"{shard}-0"] = 900.0
+            fleet.other.servers.behaviour[f"{shard}-1"] = 900.0
+        Dying(fleet, "other-0", after_ms=25.0)
+        merged = await fleet.gather()
+        return fleet, merged
+
+    fleet, merged = play(scenario)
+    assert merged.missing == 0
+    assert set(fleet.runs().values()) <= {1, 2}
+
+
+@pytest.mark.parametrize("stall_ms", [50.0, 72.0, 100.0, 250.0, 300.0])
+def test_no_shard_runs_on_more_servers_than_its_attempts_when_the_node_is_slow(stall_ms):
+    """The load: a node whose processor is used up when a subquery comes, and goes on later."""
+
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        for shard in FAR:
+            fleet.set_behaviour(f"{shard}-0", 900.0)
+            fleet.set_behaviour(f"{shard}-1", 900.0)
+        answer = fleet.takers["other-0"].answer
+
+        async def stalled(message):
+            answers = answer(message)
+            first = await anext(answers)
+            await fleet.clock.sleep(stall_ms)
+            yield first
+            async for each in answers:
+                yield each
+
+        fleet.network.streams["other-0"] = stalled
+        task = asyncio.create_task(fleet.gather())
+        await asyncio.gather(task, return_exceptions=True)
+        await fleet.clock.sleep(1_000)
+        return fleet
+
+    assert max(play(scenario).runs().values()) <= 2
+
+
+@pytest.mark.parametrize("after_ms", [10.0, 60.0, 110.0, 150.0])
+def test_no_shard_runs_on_more_servers_than_its_attempts_when_the_node_dies(after_ms):
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        for shard in ("s1", "s2"):
+            fleet.set_behaviour(f"{shard}-0", 900.0)
+            fleet.set_behaviour(f"{shard}-1", 900.0)
+        Dying(fleet, "other-0", after_ms)
+        try:
+            await fleet.gather()
+        except QueryError:
+            return fleet
+        return fleet
+
+    runs = play(scenario).runs()
+    assert max(runs.values()) <= 2
+
+
+def test_a_shard_that_failed_there_is_tried_by_the_asker_on_another_server():
+    async def scenario(fleet):
+        fleet.me.allow_repeats(*SHARDS)
+        fleet.other.servers.behaviour["s1-0"] = CUT
+        fleet.other.servers.behaviour["s1-1"] = CUT
+        return fleet, await fleet.gather()
+
+    fleet, merged = play(scenario, retry_ratio=0.1)
+    assert merged.missing == 0
+    (failed,) = [name for name in fleet.other.servers.asked() if name.startswith("s1")]
+    (second,) = [name for name in fleet.me.servers.asked() if name.startswith("s1")]
+    assert failed != second
+
+
+def test_work_at_the_other_node_ends_when_the_caller_leaves():
+    async def scenario(fleet):
+        for shard in FAR:
+            fleet.set_behaviour(f"{shard}-0", 600.0)
+            fleet.set_behaviour(f"{shard}-1", 600.0)
+        task = asyncio.create_task(fleet.gather(objective_ms=900.0))
+        await fleet.clock.sleep(60)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await fleet.clock.sleep(10)
+        return fleet
+
+    fleet = play(scenario)
+    assert fleet.takers["other-0"].in_progress == 0
+    assert sorted(fleet.other.servers.ended) == sorted(fleet.other.servers.asked())
+    assert len(fleet.other.servers.ended) == len(FAR)
+
+
+def test_a_request_that_crashes_servers_is_not_asked_again_by_the_asker():
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        for shard in SHARDS:
+            for number in range(2):
+                fleet.set_behaviour(f"{shard}-{number}", BackendDied("died"))
+        errors = []
+        for name in ("r-1", "r-2", "r-3"):
+            try:
+                await fleet.gather(name)
+            except QueryError as error:
+                errors.append(type(error))
+        return fleet, errors
+
+    fleet, errors = play(scenario)
+    assert errors[1:] == [Quarantined, Quarantined]
+    assert set(fleet.runs().values()) == {1}
+
+
+def test_few_nodes_take_subqueries_while_requests_are_few():
+    async def scenario(fleet):
+        return {fleet.aggregators.node_in(OTHER).id for _ in range(50)}
+
+    assert len(play(scenario, others=12)) == 1
+
+
+def test_all_nodes_share_the_few_and_more_take_part_as_requests_grow():
+    async def scenario(fleet):
+        names = [f"other-{number}" for number in range(12)]
+        members = [a_member(name, OTHER) for name in names]
+
+        def taken(requests_per_s):
+            found = set()
+            for number in range(40):
+                me = a_member(f"asker-{number}", HOME)
+                membership = FakeMembership(me, *members)
+                aggregators = Aggregators(None, membership, fleet.clock)
+                for _ in range(round(requests_per_s * 10)):
+                    aggregators.count_request()
+                found.add(aggregators.node_in(OTHER).id)
+            return found
+
+        return taken(0.3), taken(3.0), taken(12.0)
+
+    few, some, all_of_them = play(scenario)
+    assert len(few) == LEAST_AGGREGATORS
+    assert LEAST_AGGREGATORS < len(some) <= 5
+    assert len(all_of_them) >= 11
+
+
+def test_a_node_that_is_one_of_the_few_asks_servers_itself():
+    async def scenario(fleet):
+        members = [a_member(f"n-{number}", HOME) for number in range(6)]
+        asked = set()
+        for me in members:
+            others = [member for member in members if member is not me]
+            aggregators = Aggregators(None, FakeMembership(me, *others), fleet.clock)
+            node = aggregators.node_in(HOME)
+            asked.add(None if node is None else node.id)
+        return asked
+
+    asked = play(scenario)
+    assert None in asked
+    assert len(asked) == 1 + LEAST_AGGREGATORS
--- a/standins/src/auburnhollow_standins/fake_peers.py
+++ b/standins/src/auburnhollow_standins/fake_peers.py
@@ -1,8 +1,15 @@
 """Fake links between nodes, for tests in virtual time."""
 
 import asyncio
-
-from auburnhollow.exceptions import PeerError
+import math
+from contextlib import aclosing
+
+from auburnhollow.exceptions import (
+    AuburnhollowError,
+    PeerError,
+    PeerRefused,
+    PeerUnreachable,
+)
 from auburnhollow.peers import Peers, pack
 from auburnhollow.peers.codec import Failure, feed, new_unpacker
 
@@ -15,6 +22,7 @@
 
     def __init__(self, random, delay_ms=1.0, loss=0.0, copies=True):
         self.handlers = {}
+        self.streams = {}
         self.pausables = {}
         self.random = random
         self.delay_ms = delay_ms
@@ -63,6 +71,39 @@
             raise PeerError(f"{address}: {answer.text}")
         return answer
 
+    async def stream(self, address, message, first_ms):
+        """Send a message and yield its answers; a cut address is silent."""
+        network = self._network
+        handler = network.streams.get(address)
+        if handler is None:
+            raise PeerUnreachable(f"{address}: refused")
+        limit_ms = self._clock.now_ms() + first_ms
+        answers = handler(self._sent(message))
+        async with aclosing(answers):
+            while True:
+                answer = await self._next(address, answers, limit_ms)
+                limit_ms = math.inf
+                yield answer
+                if answer.is_last:
+                    return
+
+    async def _next(self, address, answers, limit_ms):
+        network = self._network
+        try:
+            async with self._clock.timeout(limit_ms - self._clock.now_ms()):
+                await self._clock.sleep(network.delay_ms)
+                if network.is_lost(self._address, address):
+                    await asyncio.Event().wait()
+                answer = self._sent(await anext(answers))
+                await self._clock.sleep(network.delay_ms)
+        except TimeoutError:
+            raise PeerError(f"{address}: no answer") from None
+        except AuburnhollowError as error:
+            if isinstance(error, PeerError):
+                raise
+            raise PeerRefused(f"{address}: {error}") from error
+        return answer
+
     def tell(self, address, message):
         """Send a message without an answer."""
         task = asyncio.get_running_loop().create_task(self._tell(address, message))
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -120,11 +120,15 @@
     """A dispatcher over fake servers.
 
     :param replicas: dictionary of services to data centres of their servers.
+    :param home: data centre of the node.
+    :param aggregators: :class:`~auburnhollow.relay.subquery.Aggregators`, or ``None``.
     """
 
     __slots__ = ("clock", "dispatcher", "registry", "servers")
 
-    def __init__(self, replicas, retry_ratio=1.0, seed=1, work_ms=20.0):
+    def __init__(
+        self, replicas, retry_ratio=1.0, seed=1, work_ms=20.0, home=HOME, aggregators=None
+    ):
         self.clock = VirtualClock()
         rng = random.Random(seed)
         self.registry = ServerRegistry(self.clock)
@@ -135,13 +139,14 @@
         self.dispatcher = Dispatcher(
             self.servers,
             self.registry,
-            Choice(HOME, REGIONS, self.clock, rng),
+            Choice(home, REGIONS, self.clock, rng),
             self.clock,
             rng,
             Metrics(),
             Quarantine(self.clock, Recorder("node-1", self.clock), rng),
             DispatchSettings(retry_ratio=retry_ratio, retry_window_ms=10_000.0, retry_slack=0.0),
             lambda: 1,
+            aggregators,
         )
 
     def allow_repeats(self, *services, count=50):
