--- a/packages/auburnhollow/src/auburnhollow/follow/neighbours.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/neighbours.py
@@ -56,7 +56,7 @@
                 known = await self._peers.ask(address, KnownAsk(version=version), ASK_TIMEOUT_MS)
                 self._take(address, known)
             except (PeerError, ValueError) as error:
-                decide(log, "node not asked", level=logging.DEBUG, node=address, error=str(error))
+                decide(log, "node not asked", level=logging.DEBUG, peer=address, error=str(error))
                 continue
             answered += 1
         return answered
@@ -76,7 +76,7 @@
         decide(
             log,
             "learned from a node",
-            node=address,
+            peer=address,
             servers=len(servers),
             age_ms=round(known.age_ms),
         )
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -210,7 +210,7 @@
         return len(self._membership.answering()) > ALONE_UP_TO
 
     def _passed_over(self, address, error):
-        decide(log, "watcher passed over", level=logging.DEBUG, node=address, error=str(error))
+        decide(log, "watcher passed over", level=logging.DEBUG, peer=address, error=str(error))
 
 
 class ChangeServer:
