--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -4,23 +4,20 @@
 import math
 
 from ..clock import MS_PER_SECOND
-from ..exceptions import BackendError, BackendRejected, DeadlinePassed, PeerRefused, Ran
+from ..exceptions import BackendError, BackendRejected, PeerRefused, Ran
 from ..quarantine import fingerprint_of
-from . import telling
+from . import failures, telling
 from .legs import Call, Leg
 from .messages import Answer
 from .outcomes import Outcomes
+from .repeats import LEAST_CALL_MS, Repeats
 from .subquery import LEAST_SHARDS, Subquery, subquery_of
 
 # The answer needs this long to reach the caller from here.
 ANSWER_MS = 15.0
 # A call that lost the race may still tell how its server is; its caller must not have left by then.
 LINGER_MS = 350.0
-# Servers that did not run the request do not count as attempts, but the sends are bounded.
-REFUSED_SENDS = 2
 HEDGE_AGAIN_MS = 30.0
-# A call that has less time than this is not worth sending.
-LEAST_CALL_MS = 5.0
 # A node that has taken a subquery tells of it well before the objective, and repeats nothing after
 # it; one that is silent for longer has most likely gone.
 OVERDUE_SHARE = 1.25
@@ -43,7 +40,6 @@
 
     __slots__ = (
         "_aggregators",
-        "_attempts",
         "_choice",
         "_clock",
         "_dispatcher",
@@ -56,7 +52,7 @@
         "_on_change",
         "_outcomes",
         "_quarantine",
-        "_repeats_end_ms",
+        "_repeats",
         "_request",
         "_route",
         "_subqueries",
@@ -71,8 +67,6 @@
         self._aggregators = aggregators
         self._on_change = on_change
         self._subqueries = []
-        self._attempts = route.attempts
-        self._repeats_end_ms = math.inf
         self._choice = dispatcher.choice
         self._clock = dispatcher.clock
         self._request = request
@@ -81,6 +75,7 @@
         self._quarantine = dispatcher.quarantine
         self._fingerprint = fingerprint_of(route.name, request.identity)
         self._outcomes = Outcomes(dispatcher, request, self._times, self._fingerprint)
+        self._repeats = Repeats(dispatcher, request, route, self._fingerprint)
         self._legs = [Leg(service) for service in services]
         self._least = least
         self._in = 0
@@ -98,15 +93,14 @@
     @property
     def is_suspect(self):
         """Whether servers have died under the request."""
-        return self._quarantine.is_suspect(self._fingerprint)
+        return self._repeats.is_suspect
 
     def bound_repeats(self, attempts, end_ms=math.inf):
-        """Let each service run the request on ``attempts`` servers, none more after ``end_ms``.
+        """Bound further sends as :meth:`Repeats.bound` does.
 
         Services that have failed meanwhile are asked again where that allows it.
         """
-        self._attempts = attempts
-        self._repeats_end_ms = end_ms
+        self._repeats.bound(attempts, end_ms)
         for leg in self._legs:
             if leg.is_over and leg.answer is None:
                 self._repeat_failed(leg)
@@ -153,9 +147,9 @@
             telling.partial(self._request.id, self._legs, age_ms)
             return True
         if self._in + open_legs < self._least:
-            raise self._failure()
+            raise failures.too_few(self._legs, self._dispatcher)
         if now_ms >= self._request.limit_ms:
-            raise self._out_of_time()
+            raise failures.out_of_time(self._legs, self._dispatcher)
         return False
 
     def _send_all(self):
@@ -295,7 +289,7 @@
             self._take_success(leg, answer)
             return
         leg.error = answer
-        if self._route.shards or (answer.status >= 500 and self.may_repeat(leg)):
+        if self._route.shards or (answer.status >= 500 and self._repeats.may_repeat(leg)):
             return
         leg.answer = answer
         self._in += 1
@@ -320,23 +314,9 @@
             return
         telling.calls(self._request, self._route, self._legs, self._times.work_ms, now_ms)
 
-    def may_repeat(self, leg):
-        """Return whether the leg may be sent once more, its budget left out."""
-        error = leg.error
-        if self.is_suspect:
-            # What crashes servers must not be given another one.
-            return False
-        if not self._route.repeatable and getattr(error, "ran", Ran.YES) is not Ran.NO:
-            return False
-        if leg.run >= self._attempts or leg.sent >= self._attempts + REFUSED_SENDS:
-            return False
-        if self._clock.now_ms() >= self._repeats_end_ms:
-            return False
-        return self._request.limit_ms - self._clock.now_ms() > LEAST_CALL_MS
-
     def _repeat_failed(self, leg):
         """Send a leg again whose calls have all failed."""
-        if leg.calls or leg.error is None or self._lingers or not self.may_repeat(leg):
+        if leg.calls or leg.error is None or self._lingers or not self._repeats.may_repeat(leg):
             self._settle_failed(leg)
             return
         if self._try_repeat(leg, "retry sent"):
@@ -360,27 +340,21 @@
             leg.hedge_ms = None
             for call in leg.calls:
                 self._choice.view(call.server).late(call.began_ms)
-            if not self._route.repeatable or leg.run >= self._route.attempts:
+            if self._repeats.is_used_up(leg):
                 continue
-            if not self.may_repeat(leg) or not self._try_repeat(leg, "hedge sent"):
+            if not self._repeats.may_repeat(leg) or not self._try_repeat(leg, "hedge sent"):
                 leg.hedge_ms = now_ms + HEDGE_AGAIN_MS
 
     def _try_repeat(self, leg, text):
         """Send the leg once more if the budget allows; returns whether it was sent."""
-        dispatcher = self._dispatcher
-        budget = dispatcher.budget(leg.service)
-        servers = dispatcher.registry.usable(leg.service)
-        if all(server.id in leg.tried for server in servers):
-            return False
-        if not budget.try_spend():
-            dispatcher.metrics.incr("relay.budget_refusals")
-            return False
-        if not self._send(leg):
+        if not self._repeats.try_spend(leg) or not self._send(leg):
             return False
+        dispatcher = self._dispatcher
         dispatcher.metrics.incr("relay.hedges" if text == "hedge sent" else "relay.retries")
         self._note_change()
         age_ms = round(self._clock.now_ms() - self._request.received_ms)
-        telling.repeat(self._request.id, text, leg, age_ms, budget.left)
+        budget_left = dispatcher.budget(leg.service).left
+        telling.repeat(self._request.id, text, leg, age_ms, budget_left)
         return True
 
     async def _wait(self):
@@ -422,19 +396,3 @@
                 call.task.cancel()
             if not self._lingers:
                 leg.error = None
-
-    def _failure(self):
-        """Return the error of a request of which too many services have failed."""
-        failed = [leg for leg in self._legs if leg.answer is None and leg.is_over]
-        if all(leg.run == 0 for leg in self._legs):
-            return self._dispatcher.unavailable(f"{failed[0].error}")
-        return BackendRejected(
-            f"{len(failed)} of {len(self._legs)} services failed: {failed[0].error}",
-            ran=Ran.UNKNOWN,
-        )
-
-    def _out_of_time(self):
-        if all(leg.run == 0 for leg in self._legs):
-            return self._dispatcher.unavailable("no server took the request in time")
-        missing = [leg.service for leg in self._legs if leg.answer is None]
-        return DeadlinePassed(f"no answer in time of {', '.join(missing[:3])}", ran=Ran.UNKNOWN)
