--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -15,7 +15,7 @@
 from .logs import set_up_logs
 from .node import RelayNode
 from .server import PassingServer
-from .settings import load_settings
+from .settings import load_settings, reload_settings
 
 log = logging.getLogger("node")
 
@@ -25,41 +25,43 @@
 
 
 class Signals:
-    """What the process was told: ``stop`` once, ``kill`` by a second signal."""
+    """What the process was told: ``stop`` once, ``kill`` by a second signal.
 
-    __slots__ = ("kill", "stop")
+    ``on_reload`` is called when settings are to be read again, ``None`` before there is a node: it
+    starts with the newest settings anyway.
+    """
+
+    __slots__ = ("kill", "on_reload", "stop")
 
     def __init__(self):
         self.stop = asyncio.Event()
         self.kill = asyncio.Event()
+        self.on_reload = None
 
-    def attach(self, loop, on_reload):
+    def attach(self, loop):
         """Listen to the signals of the process."""
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._told_to_stop)
-        loop.add_signal_handler(signal.SIGHUP, on_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._told_to_reload)
 
     def _told_to_stop(self):
         if self.stop.is_set():
             self.kill.set()
         self.stop.set()
 
+    def _told_to_reload(self):
+        if self.on_reload is not None:
+            self.on_reload()
+
 
 async def serve(settings, path, sockets):
     """Run one node until it is told to stop."""
     signals = Signals()
-
-    def reload():
-        try:
-            load_settings(path)
-            decide(log, "settings read again; a restart applies them")
-        except SettingsError as error:
-            decide(log, "settings not valid", level=logging.ERROR, error=str(error))
-
-    signals.attach(asyncio.get_running_loop(), reload)
+    signals.attach(asyncio.get_running_loop())
     adapter = importlib.import_module(settings.adapter)
     async with adapter.open_platform(settings) as platform:
         node = RelayNode(settings, platform.feed, platform.client)
+        signals.on_reload = lambda: reload(node, path)
         front = PassingServer(adapter.build_front(node))
         inner = PassingServer(adapter.build_inner(node))
         async with listening(node, front, inner, sockets):
@@ -69,6 +71,19 @@
     decide(log, "stopped")
 
 
+def reload(node, path):
+    """Read the settings again and apply what a running node can change."""
+    try:
+        found = load_settings(path)
+    except SettingsError as error:
+        decide(log, "settings not valid", level=logging.ERROR, error=str(error))
+        return
+    changed, waiting = reload_settings(node.settings, found)
+    node.apply_settings()
+    set_up_logs(node.settings)
+    decide(log, "settings read again", changed=changed, need_restart=waiting)
+
+
 @asynccontextmanager
 async def listening(node, front, inner, sockets):
     """Serve callers, and the balancer's and operators' questions, for the length of the block."""
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -92,11 +92,7 @@
             self._random,
             self.metrics,
             self.quarantine,
-            DispatchSettings(
-                retry_ratio=settings.retry_ratio,
-                retry_window_ms=settings.retry_window_ms,
-                retry_slack=settings.retry_slack,
-            ),
+            self._dispatch_settings(),
             self._count_nodes,
             Aggregators(self.peers, self.fleet.membership, self.clock),
         )
@@ -141,6 +137,10 @@
         for work in (self.fleet.spreader.run(), membership.run(), self._join()):
             self._tasks.append(loop.create_task(work))
 
+    def apply_settings(self):
+        """Take over what has changed in the settings of this node."""
+        self.dispatcher.apply_settings(self._dispatch_settings())
+
     async def leave(self):
         """Tell the other nodes that this one ends."""
         if self.settings.peer:
@@ -196,6 +196,14 @@
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         }
 
+    def _dispatch_settings(self):
+        settings = self.settings
+        return DispatchSettings(
+            retry_ratio=settings.retry_ratio,
+            retry_window_ms=settings.retry_window_ms,
+            retry_slack=settings.retry_slack,
+        )
+
     def _note_answer(self, request, route, answer):
         age_ms = self.clock.now_ms() - request.received_ms
         self.metrics.incr("front.answered")
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
@@ -48,6 +48,19 @@
 }
 
 
+# What a running node can change; sockets and connections hang on all else, which needs a restart.
+RELOADABLE = (
+    "seeds",
+    "retry_ratio",
+    "retry_window_ms",
+    "retry_slack",
+    "linger_ms",
+    "shutdown_ms",
+    "log_level",
+    "log_lines_per_s",
+)
+
+
 class RelaySettings(Record):
     """Settings of one node; docs/OPERATORS.md lists each with unit, default and range."""
 
@@ -98,6 +111,25 @@
     return RelaySettings(**values)
 
 
+def reload_settings(running, found):
+    """Take over from ``found`` what a running node can change.
+
+    :param running: :class:`RelaySettings` in force, which are changed.
+    :returns: the names of settings that were changed, and of those that need a restart.
+    """
+    changed = []
+    waiting = []
+    for name in SETTINGS:
+        if getattr(running, name) == getattr(found, name):
+            continue
+        if name not in RELOADABLE:
+            waiting.append(name)
+            continue
+        setattr(running, name, getattr(found, name))
+        changed.append(name)
+    return changed, waiting
+
+
 def load_settings(path):
     """Return the :class:`RelaySettings` in a JSON file.
 
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -243,6 +243,14 @@
     ran = Ran.NO
 
 
+class TooSlow(QueryError):
+    """The caller has not sent the whole request in its time."""
+
+    status = 408
+    code = "too-slow"
+    ran = Ran.NO
+
+
 class NotReady(QueryError):
     """The node has no configuration, or an older one than the caller has seen."""
 
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "_budgets",
+        "_count_nodes",
         "_random",
         "_settings",
         "_slack",
@@ -77,6 +78,7 @@
         self.quarantine = quarantine
         self._random = random
         self._settings = settings
+        self._count_nodes = count_nodes
         self._slack = Slack(clock, count_nodes, settings.retry_slack, settings.retry_window_ms)
         self._budgets = {}
         self._times = {}
@@ -125,6 +127,20 @@
             self._budgets[service] = budget
         return budget
 
+    def apply_settings(self, settings):
+        """Take over other :class:`DispatchSettings`.
+
+        Budgets that start anew allow nothing beyond the ratio until a window has passed, so that
+        no window sees more than the old bound and the new one allow.
+        """
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._slack = Slack(
+            self.clock, self._count_nodes, settings.retry_slack, settings.retry_window_ms
+        )
+        self._budgets = {}
+
     def times(self, route):
         """Return the :class:`RouteTimes` of a route."""
         times = self._times.get(route.name)
