Let operators ask relay nodes for their state and for a request's way

'auburnhollow relay_status' shows configuration, store, servers as the node's calls have met them, budgets and members; 'relay_route HOST PATH' shows the route, the candidates with their cost, and through which node shards are asked.

--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -30,7 +30,7 @@
 )
 from auburnhollow_node.relay.settings import check_settings
 
-from . import pictures, stories, texts
+from . import pictures, relays, stories, texts
 from .fleet import FleetView
 
 WRITE_TRIES = 20
@@ -167,6 +167,28 @@
         text = "\n\n".join(texts.status_text(status) for status in found.values())
         self._print(found, text)
 
+    def relay_status(self):
+        """Print what each named relay node knows of the store, the servers and the fleet."""
+
+        async def ask():
+            async with self._opened() as (_, fleet):
+                return await fleet.relay_statuses()
+
+        found = asyncio.run(ask())
+        if not found:
+            raise ConfigurationError([Finding("nodes", "none of the named nodes answers")])
+        self._print(found, "\n\n".join(relays.status_text(status) for status in found.values()))
+
+    def relay_route(self, host, path="/"):
+        """Print where a relay node would send a request for HOST and PATH, and why."""
+
+        async def ask():
+            async with self._opened() as (_, fleet):
+                return await fleet.relay_route(str(host), str(path))
+
+        found = asyncio.run(ask())
+        self._print(found, relays.route_text(found))
+
     def timeline(self, minutes=EVENTS_MINUTES, html=None, follow_request=None):
         """Merge the events of the named nodes into one time line.
 
--- a/packages/auburnhollow-operator/src/auburnhollow_operator/fleet.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/fleet.py
@@ -1,6 +1,7 @@
 """Asking nodes over HTTP on behalf of an operator."""
 
 import asyncio
+from urllib.parse import urlencode
 
 import aiohttp
 import orjson
@@ -70,6 +71,14 @@
         """Return a node's explanation of where a request would go."""
         return await self._post(self._urls[0], "/operator/route", question)
 
+    async def relay_statuses(self):
+        """Return the status of each relay node that answers, by address."""
+        return await self._from_all("/status")
+
+    async def relay_route(self, host, path):
+        """Return a relay node's explanation of where a request would go."""
+        return await self.get(self._urls[0], f"/explain?{urlencode({'host': host, 'path': path})}")
+
     async def confirmation(self, revision):
         """Return the :class:`Confirmation` of a revision as the first node sees it."""
         status = await self.first_status()
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -102,6 +102,11 @@
         """Whether the store answered last time; ``None`` before the first try."""
         return self._is_reachable
 
+    @property
+    def is_direct(self):
+        """Whether the last answer came from the store itself, and not from another node."""
+        return getattr(self._feed, "is_direct", True)
+
     @property
     def age_ms(self):
         """Milliseconds since the store last confirmed what is known; ``None`` if it never did."""
--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -86,6 +86,10 @@
         """Where this node runs."""
         return self._data_centre
 
+    def cost_ms(self, server, work_ms):
+        """Return what a call to the server costs: its expected time, and what speaks against it."""
+        return self._cost_ms(server, work_ms, self._clock.now_ms())
+
     def distance_ms(self, server):
         """Return the time to the server and back, in milliseconds."""
         return self.distance_to(server.data_centre)
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -127,6 +127,10 @@
             self._budgets[service] = budget
         return budget
 
+    def budgets_left(self):
+        """Return how many repeats may be sent now, by service."""
+        return {service: budget.left for service, budget in sorted(self._budgets.items())}
+
     def apply_settings(self, settings):
         """Take over other :class:`DispatchSettings`.
 
