--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -90,6 +90,7 @@
     """Serve callers, and the balancer's and operators' questions, for the length of the block."""
     await node.start()
     front.limits = lambda: node.routes.limits if node.routes else None
+    node.count_connections = lambda: front.connections
     await inner.listen(sockets.inner)
     await front.listen(sockets.front)
     try:
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -27,6 +27,7 @@
 from auburnhollow.servers import ServerRegistry
 
 from ..fleet import Fleet
+from .lag import LoopLag
 
 log = logging.getLogger("node")
 
@@ -45,16 +46,20 @@
     :param feed: :class:`~auburnhollow.follow.Feed`.
     :param client: :class:`~auburnhollow.relay.ServerClient`.
 
+    ``count_connections`` is a function that returns how many callers' connections are open.
+
     >>> node = RelayNode(settings, feed, client)
     >>> answer = await node.handle(request)
     """
 
     __slots__ = (
         "_in_progress",
+        "_lag",
         "_random",
         "_subqueries",
         "_tasks",
         "clock",
+        "count_connections",
         "dispatcher",
         "events",
         "fleet",
@@ -76,6 +81,8 @@
         self._random = random.Random(settings.seed)
         self._tasks = []
         self._in_progress = 0
+        self._lag = LoopLag(self.clock)
+        self.count_connections = None
         self.registry = ServerRegistry(self.clock)
         self._wire_fleet()
         self.dispatcher = Dispatcher(
@@ -101,7 +108,12 @@
         self.peer_server.on(SubqueryRepeats, self._subqueries.allow_repeats)
         shared = SharedFeed(feed, self.peers, self.fleet.membership, self.clock, self._random)
         self.follower = Follower(
-            shared, self.registry, self.clock, self._random, self.dispatcher.forget
+            shared,
+            self.registry,
+            self.clock,
+            self._random,
+            self.dispatcher.forget,
+            self.metrics,
         )
         changes = ChangeServer(self.follower, shared, self.clock)
         self.peer_server.on(ChangesAsk, changes.answer)
@@ -128,6 +140,7 @@
         """Join the fleet and begin to follow the store."""
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.follower.run()))
+        self._tasks.append(loop.create_task(self._lag.run()))
         if not self.settings.peer:
             return
         host, _, port = self.settings.peer.rpartition(":")
@@ -193,6 +206,9 @@
             "node.store_reachable": int(bool(self.follower.is_reachable)),
             "node.servers": len(self.registry),
             "node.nodes_present": self._count_nodes(),
+            "node.connections": self.count_connections() if self.count_connections else None,
+            "node.loop_lag_ms": round(self._lag.worst_ms, 1),
+            "relay.repeats_left": self.dispatcher.least_budget_left(),
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         }
 
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -107,6 +107,11 @@
         if ran is not None:
             self.ran = ran
 
+    @property
+    def kind(self):
+        """How the call failed, as metrics name it."""
+        return type(self).__name__.removeprefix("Backend").lower()
+
 
 class BackendRefused(BackendError):
     """The server said that it did not run the request.
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -6,6 +6,7 @@
 
 from ..decisions import decide
 from ..exceptions import StoreUnavailable
+from ..metrics import Metrics
 from .feed import ConfigurationSeen, HistoryLost, ServerGone, ServerSeen, UnreadableEntry
 from .sharing import ChangeLog
 
@@ -54,6 +55,7 @@
     :param random: a :class:`random.Random`.
     :param on_routes: function that is called with each newer
         :class:`~auburnhollow.routes.RouteTable`.
+    :param metrics: :class:`~auburnhollow.metrics.Metrics`.
 
     ``changes`` keeps what has changed, for other nodes. ``first_answer`` is an event that is set
     once the first read has ended, well or not. ``ask_others`` is a coroutine function that is
@@ -67,6 +69,7 @@
         "_clock",
         "_feed",
         "_is_reachable",
+        "_metrics",
         "_random",
         "_revision",
         "_routes",
@@ -78,10 +81,11 @@
         "registry",
     )
 
-    def __init__(self, feed, registry, clock, random, on_routes=None):
+    def __init__(self, feed, registry, clock, random, on_routes=None, metrics=None):
         self._feed = feed
         self._clock = clock
         self._random = random
+        self._metrics = metrics or Metrics()
         self._is_reachable = None
         self._revision = None
         self._routes = None
@@ -142,6 +146,7 @@
                 await self.step()
                 pause_ms = FIRST_PAUSE_MS
             except StoreUnavailable as error:
+                self._metrics.incr("store.failures")
                 self._lost(error)
                 if self.ask_others is not None:
                     await self.ask_others()
@@ -155,10 +160,12 @@
         :raises StoreUnavailable: when the store gives no answer.
         """
         if self._revision is None:
+            self._metrics.incr("store.reads")
             view = await self._feed.read()
             self._reached()
             self._take_all(view)
         else:
+            self._metrics.incr("store.watches")
             try:
                 view = await self._feed.changes(self._revision, WAIT_MS)
             except HistoryLost:
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -131,6 +131,10 @@
         """Return how many repeats may be sent now, by service."""
         return {service: budget.left for service, budget in sorted(self._budgets.items())}
 
+    def least_budget_left(self):
+        """Return the repeats left of the service that has the fewest, ``None`` before any."""
+        return min((budget.left for budget in self._budgets.values()), default=None)
+
     def apply_settings(self, settings):
         """Take over other :class:`DispatchSettings`.
 
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -52,8 +52,11 @@
         call.end(f"status {answer.status}", now_ms)
         if answer.status >= 500:
             telling.failure(self._request.id, call, f"status {answer.status}")
+            self._metrics.incr("relay.calls_fault")
             self.note_failure(call, now_ms)
             return
+        self._metrics.incr("relay.calls_answered")
+        self._metrics.timing("relay.call_ms", now_ms - call.began_ms)
         work_ms = now_ms - call.began_ms - self._choice.distance_ms(call.server)
         ratio = self._times.observe(work_ms, call.speed)
         self.view(call).answered(call, ratio, answer.load, now_ms)
@@ -63,12 +66,14 @@
         now_ms = self._clock.now_ms()
         call.end(type(error).__name__, now_ms)
         telling.failure(self._request.id, call, str(error))
+        self._metrics.incr(f"relay.calls_{error.kind}")
         note(error, call, self, now_ms)
 
     def ended(self, call):
         """Note a call that was ended without an answer."""
         now_ms = self._clock.now_ms()
         call.end("cancelled", now_ms)
+        self._metrics.incr("relay.calls_ended")
         took_ms = now_ms - call.began_ms - self._choice.distance_ms(call.server)
         self.view(call).gave_up(call, took_ms / self._times.work_ms, now_ms)
 
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -88,8 +88,7 @@
         tier.events.record("connection-silent", server=server.id)
     if isinstance(error, BackendRefused):
         _learn_from_refusal(tier, service, server, error)
-    name = type(error).__name__.removeprefix("Backend").lower()
-    tier.metrics.incr(f"backends.{name}")
+    tier.metrics.incr(f"backends.{error.kind}")
 
 
 def _learn_from_refusal(tier, service, server, refusal):
