Try servers without a listener by connections, and share slack among the nodes that call them

And of a slack of 127 repeats a window, each of 65 nodes had two, though twelve nodes make nearly all calls.

Change: a server that takes no connection gets no request until one opened without a request succeeds.

--- a/packages/auburnhollow/src/auburnhollow/relay/client.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/client.py
@@ -14,3 +14,7 @@
         :raises BackendError: with ``ran`` true to what the server may have done.
         """
         raise NotImplementedError
+
+    async def reaches(self, server):
+        """Return whether ``server`` takes a connection; nothing is sent on it."""
+        raise NotImplementedError
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -7,6 +7,7 @@
 from .fanout import FanOut
 from .merge import merge
 from .messages import Merged
+from .readmission import Readmission
 from .routetimes import RouteTimes
 
 # A missing server is back, or its successor known, within a few heartbeats.
@@ -53,6 +54,7 @@
         "clock",
         "metrics",
         "quarantine",
+        "readmission",
         "registry",
     )
 
@@ -79,9 +81,10 @@
         self._random = random
         self._settings = settings
         self._count_nodes = count_nodes
-        self._slack = Slack(clock, count_nodes, settings.retry_slack, settings.retry_window_ms)
+        self._slack = self._new_slack()
         self._budgets = {}
         self._times = {}
+        self.readmission = Readmission(client, registry, choice, clock)
 
     async def pass_on(self, request, route, service):
         """Send a request to one server of ``service`` and return its :class:`Answer`.
@@ -144,9 +147,7 @@
         if settings == self._settings:
             return
         self._settings = settings
-        self._slack = Slack(
-            self.clock, self._count_nodes, settings.retry_slack, settings.retry_window_ms
-        )
+        self._slack = self._new_slack()
         self._budgets = {}
 
     def times(self, route):
@@ -170,6 +171,15 @@
         self.choice.bound_connections(table.services)
         self.choice.forget(self.registry.servers)
 
+    def _new_slack(self):
+        return Slack(
+            self.clock,
+            self._count_nodes,
+            self._settings.retry_slack,
+            self._settings.retry_window_ms,
+            self.aggregators,
+        )
+
 
 def least_shards(route):
     """Return how many shards must answer at least."""
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -31,6 +31,7 @@
         "_fingerprint",
         "_metrics",
         "_quarantine",
+        "_readmission",
         "_registry",
         "_request",
         "_times",
@@ -41,6 +42,7 @@
         self._clock = dispatcher.clock
         self._metrics = dispatcher.metrics
         self._quarantine = dispatcher.quarantine
+        self._readmission = dispatcher.readmission
         self._registry = dispatcher.registry
         self._request = request
         self._times = times
@@ -85,6 +87,10 @@
         """Note that another server answers at the address."""
         self._registry.misdirected(server)
 
+    def unreachable(self, call):
+        """Note that a server took no connection."""
+        self._readmission.watch(call.server)
+
     def died(self, call):
         """Note that a server died under the request."""
         self._quarantine.died(call.server.id, call.leg.service, self._fingerprint)
@@ -111,6 +117,7 @@
 @note.register
 def _(_error: BackendUnreachable, call, outcomes, now_ms):
     outcomes.note_failure(call, now_ms, is_certain=True)
+    outcomes.unreachable(call)
 
 
 @note.register
--- a/packages/auburnhollow/src/auburnhollow/relay/subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subquery.py
@@ -184,6 +184,13 @@
             self._askers = self._count_askers()
         return self._askers
 
+    def is_asker(self):
+        """Return whether this node is one of those that ask servers directly."""
+        me = self._membership.me
+        members = self._in_rank(me.data_centre)
+        wanted = self._wanted(len(members))
+        return any(member.id == me.id for member in members[:wanted])
+
     def new_key(self):
         """Return a key for a subquery of this node."""
         return f"{self._membership.me.id}/{next(self._keys)}"
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -391,3 +391,43 @@
     late = answers[100:]
     whole = [one for one in late if isinstance(one, Merged) and one.missing == 0]
     assert len(whole) >= 0.9 * len(late)
+
+
+def test_a_server_without_a_listener_is_tried_by_connections_not_by_requests():
+    """The load: a server of one service is down for four seconds, under 20 requests a second."""
+
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        bed.servers.behaviour["search-0"] = BackendUnreachable("no listener")
+        for number in range(80):
+            request = a_request(bed.clock, f"r-{number}")
+            await bed.dispatcher.pass_on(request, a_route(), "search")
+            await bed.clock.sleep(30.0)
+        asked = bed.servers.asked().count("search-0")
+        bed.servers.behaviour.clear()
+        (server, *_others) = bed.registry.usable("search")
+        view = bed.dispatcher.choice.view(server)
+        was_down = view.is_down
+        await bed.clock.sleep(2_100.0)
+        return asked, bed.servers.trials, was_down, view.is_down
+
+    asked, trials, was_down, is_down = run_virtually(play())
+    assert asked == 1
+    assert 2 <= len(trials) <= 8
+    assert (was_down, is_down) == (True, False)
+
+
+def test_a_service_whose_servers_all_seem_down_is_still_asked():
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        for number in range(3):
+            bed.servers.behaviour[f"search-{number}"] = BackendUnreachable("no listener")
+        for name in ("r-1", "r-2"):
+            with pytest.raises(Unavailable):
+                await bed.dispatcher.pass_on(a_request(bed.clock, name), a_route(), "search")
+        bed.servers.behaviour.clear()
+        return await bed.dispatcher.pass_on(a_request(bed.clock, "r-3"), a_route(), "search")
+
+    assert run_virtually(play()).is_success
--- a/packages/auburnhollow/src/auburnhollow/relay/views.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -29,6 +29,7 @@
         "_ejected_until_ms",
         "_ejections",
         "_failures",
+        "_is_down",
         "_late_since_ms",
         "_load",
         "_load_ms",
@@ -44,6 +45,7 @@
         self._ejected_until_ms = 0.0
         self._ejections = 0
         self._failures = 0
+        self._is_down = False
         self._late_since_ms = None
         self._load = 0
         self._load_ms = -LOAD_FRESH_MS
@@ -53,6 +55,11 @@
         self._troubled_ms = now_ms
         self.calls = {}
 
+    @property
+    def is_down(self):
+        """Whether it took no connection when it was last tried."""
+        return self._is_down
+
     def speed(self, now_ms):
         """Return how many times as long as usual its work takes, faded towards 1."""
         faded = math.exp((self._seen_ms - now_ms) / FORGET_MS)
@@ -80,9 +87,18 @@
             return 0.0
         return now_ms - self._late_since_ms
 
+    def take_down(self):
+        """Note that it takes no connections."""
+        self._is_down = True
+
+    def bring_up(self):
+        """Note that it takes connections again."""
+        self._is_down = False
+        self._ejected_until_ms = 0.0
+
     def is_ejected(self, now_ms):
-        """Return whether its calls have failed in a row."""
-        return now_ms < self._ejected_until_ms
+        """Return whether it takes no connections, or its calls have failed in a row."""
+        return self._is_down or now_ms < self._ejected_until_ms
 
     def began(self, call, now_ms):
         """Note a call that begins."""
@@ -105,6 +121,7 @@
         began_ms = self.calls.pop(call, now_ms)
         self._failures = 0
         self._ejections = 0
+        self._is_down = False
         self._note_trouble(0.0, now_ms)
         if load is not None:
             self._load = load
@@ -141,7 +158,7 @@
             self._late_since_ms = None
         self._failures += 1
         is_over = is_certain or self._failures >= FAILURES_TO_EJECT
-        if not is_over or self.is_ejected(now_ms):
+        if not is_over or now_ms < self._ejected_until_ms:
             return 0.0
         duration_ms = min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2**self._ejections)
         self._ejections += 1
--- a/packages/auburnhollow/src/auburnhollow/retry/tests/test_window.py
+++ b/packages/auburnhollow/src/auburnhollow/retry/tests/test_window.py
@@ -82,6 +82,70 @@
         assert spent <= RATIO * max(windows) + total
 
 
+class Roles:
+    """What a node believes of the nodes that call most servers."""
+
+    def __init__(self, askers, is_asker):
+        self.count = askers
+        self.is_one = is_asker
+
+    def askers(self):
+        return self.count
+
+    def is_asker(self):
+        return self.is_one
+
+
+def test_nodes_that_call_most_servers_have_a_larger_share_of_the_slack():
+    clock = ManualClock()
+
+    def share(is_asker):
+        slack = Slack(clock, lambda: 65, 170, WINDOW_MS, Roles(18, is_asker))
+        clock.advance(WINDOW_MS * 1.2)
+        return slack.share()
+
+    assert share(True) > 3 * share(False)
+    assert 18 * share(True) + 47 * share(False) <= 170 * 0.75
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_slack_of_askers_keeps_to_the_total_on_both_sides_of_a_partition(seed):
+    """Each side of a partition has its own askers; nodes learn of it at different moments."""
+    rng = random.Random(seed)
+    clock = ManualClock()
+    total = 170
+    fleet = 66
+    askers = 18
+    roles = [Roles(askers, number % 11 < 3) for number in range(fleet)]
+
+    def node(number):
+        slack = Slack(clock, lambda: fleet, total, WINDOW_MS, roles[number])
+        return WindowBudget(clock, RATIO, WINDOW_MS, slack)
+
+    nodes = [node(number) for number in range(fleet)]
+    clock.advance(WINDOW_MS * 1.2)
+    repeats = []
+    is_apart = False
+    for step in range(9_000):
+        clock.advance(rng.expovariate(1 / 5.0))
+        if step % 3_000 == 2_000:
+            is_apart = not is_apart
+        number = rng.randrange(fleet)
+        if is_apart:
+            # The other side has gone for this one, and the next in rank take its askers' place.
+            roles[number].is_one = number % 11 < 6
+            roles[number].count = askers
+        else:
+            roles[number].is_one = number % 11 < 3
+        if rng.random() < 0.002:
+            nodes[number] = node(number)
+        if nodes[number].try_spend():
+            repeats.append(clock.now_ms())
+    assert len(repeats) > total
+    for end_ms in repeats[:: max(1, len(repeats) // 60)]:
+        assert _between(repeats, end_ms - WINDOW_MS, end_ms) <= total
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_no_interleaving_over_nodes_and_restarts_exceeds_the_share(seed):
     """In any window, repeats keep to the share of the requests of it and the one before."""
--- a/packages/auburnhollow/src/auburnhollow/retry/window.py
+++ b/packages/auburnhollow/src/auburnhollow/retry/window.py
@@ -6,6 +6,10 @@
 MARGIN = 0.95
 SLACK_MARGIN = 0.75
 WINDOWS_TO_WAIT = 1.1
+# Where few nodes call most servers, they have a part of the slack to themselves. The two sides of a
+# partition may each have such nodes: twice that part and the part of all must keep to the whole.
+ASKERS_PART = 0.35
+EACH_PART = 0.3
 # Fewer nodes than this are not believed: the others may not be known yet.
 LEAST_NODES = 7
 STEPS = 20
@@ -19,18 +23,30 @@
 
     :param count_nodes: function that returns how many nodes are known, this one included.
     :param total: repeats in a window, for each service, of all nodes together.
+    :param askers: tells by ``askers()`` how many nodes call most servers, and by ``is_asker()``
+        whether this one does; they share a part among themselves. ``None`` when all do.
 
     >>> Slack(clock, count_nodes, total=54, window_ms=10_000).share()
     0.0
     """
 
-    __slots__ = ("_clock", "_count_nodes", "_from_ms", "_nodes", "_total")
+    __slots__ = (
+        "_askers",
+        "_clock",
+        "_count_nodes",
+        "_from_ms",
+        "_most_askers",
+        "_nodes",
+        "_total",
+    )
 
-    def __init__(self, clock, count_nodes, total, window_ms):
+    def __init__(self, clock, count_nodes, total, window_ms, askers=None):
         self._clock = clock
         self._count_nodes = count_nodes
-        self._total = total * SLACK_MARGIN
+        self._askers = askers
+        self._total = total
         self._nodes = 0
+        self._most_askers = 0
         self._from_ms = clock.now_ms() + window_ms * WINDOWS_TO_WAIT
 
     def share(self):
@@ -42,7 +58,16 @@
             return 0.0
         # Nodes that are not seen any more may still send: a partition must not raise the share.
         self._nodes = max(self._nodes, known)
-        return self._total / max(LEAST_NODES, self._nodes)
+        nodes = max(LEAST_NODES, self._nodes)
+        if self._askers is None:
+            return self._total * SLACK_MARGIN / nodes
+        self._most_askers = max(self._most_askers, self._askers.askers())
+        if self._most_askers >= nodes:
+            return self._total * SLACK_MARGIN / nodes
+        share = self._total * EACH_PART / nodes
+        if self._askers.is_asker():
+            share += self._total * ASKERS_PART / self._most_askers
+        return share
 
 
 class WindowBudget:
--- a/packages/auburnhollow/src/auburnhollow/servers/registry.py
+++ b/packages/auburnhollow/src/auburnhollow/servers/registry.py
@@ -95,6 +95,11 @@
             self._usable[service] = found
         return found
 
+    def knows(self, server):
+        """Return whether this start of a server is still known."""
+        known = self._by_id.get(server.id)
+        return known is not None and known.incarnation == server.incarnation
+
     def replace(self, servers):
         """Take the whole content of the register."""
         listed = set()
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -3,7 +3,7 @@
 import random
 
 from auburnhollow.events import Recorder
-from auburnhollow.exceptions import BackendCut, BackendRefused
+from auburnhollow.exceptions import BackendCut, BackendRefused, BackendUnreachable
 from auburnhollow.metrics import Metrics
 from auburnhollow.quarantine import Quarantine
 from auburnhollow.relay import Answer, Dispatcher, DispatchSettings, Request, ServerClient
@@ -88,7 +88,7 @@
     ``calls`` lists ``(time, server id, request id)``, ``ended`` the ids whose call was cancelled.
     """
 
-    __slots__ = ("_clock", "behaviour", "calls", "ended", "work_ms")
+    __slots__ = ("_clock", "behaviour", "calls", "ended", "trials", "work_ms")
 
     def __init__(self, clock, work_ms=20.0):
         self._clock = clock
@@ -96,6 +96,7 @@
         self.behaviour = {}
         self.calls = []
         self.ended = []
+        self.trials = []
 
     async def send(self, server, request, remaining_ms):
         """Answer as the server's behaviour says."""
@@ -111,6 +112,11 @@
             raise behaviour
         return an_answer(server, behaviour if isinstance(behaviour, int) else 200)
 
+    async def reaches(self, server):
+        """Return whether the server's behaviour is to take connections."""
+        self.trials.append(server.id)
+        return not isinstance(self.behaviour.get(server.id), BackendUnreachable)
+
     def asked(self):
         """Return the ids of the servers in the order in which they were asked."""
         return [name for _, name, _ in self.calls]
