Let nodes learn of the store and of each other in their own data centre first

The watchers and the peers that news goes to were drawn from the whole fleet.

Change: each data centre has a watcher of its own, five or a few more in all, and its nodes turn to it first; of four peers that news goes to, three are of the own data centre, if it has as many.

Tests: a watcher in each data centre, one that is cut, where news goes.

--- a/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
@@ -29,6 +29,7 @@
             clock,
             metrics,
             urgent=URGENT_KINDS,
+            near=self.membership.near_targets,
         )
 
     def answer_on(self, peer_server):
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 
 from ..decisions import decide
@@ -97,8 +98,10 @@
 class SharedFeed(Feed):
     """Asks the store if this node is one of its watchers, and else one of them.
 
-    In a fleet of more than ``ALONE_UP_TO`` nodes, the ``WATCHERS`` nodes that rank first ask the
-    store and answer the others. A node whose watchers do not answer asks the store itself.
+    In a fleet of more than ``ALONE_UP_TO`` nodes, the nodes that rank first in each data centre,
+    ``WATCHERS`` or a few more in all, ask the store and answer the others. A node turns to those of
+    its own data centre first, since links between data centres are costly, and asks the store
+    itself when the watchers do not answer.
 
     :param store: the :class:`Feed` of the store itself.
     :param peers: :class:`~auburnhollow.peers.Peers`.
@@ -199,12 +202,22 @@
         ids = self._membership.answering()
         if len(ids) <= ALONE_UP_TO:
             return []
-        first = ranked(SUBJECT, ids)[:WATCHERS]
-        if self._membership.me.id in first:
-            return []
-        self._random.shuffle(first)
         members = self._membership.members
-        return [members[name].address for name in first[:TRIED_WATCHERS]]
+        by_centre = {}
+        for name in ids:
+            by_centre.setdefault(members[name].data_centre, []).append(name)
+        count = math.ceil(WATCHERS / len(by_centre))
+        near = []
+        far = []
+        for centre, names in by_centre.items():
+            first = ranked(SUBJECT, names)[:count]
+            if self._membership.me.id in first:
+                return []
+            group = near if centre == self._membership.me.data_centre else far
+            group.extend(first)
+        self._random.shuffle(near)
+        self._random.shuffle(far)
+        return [members[name].address for name in (near + far)[:TRIED_WATCHERS]]
 
     def _has_followers(self):
         return len(self._membership.answering()) > ALONE_UP_TO
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
@@ -103,8 +103,10 @@
         self.clock = clock
         self.servers = {}
         self.cut = set()
+        self.asked = []
 
     async def ask(self, address, message, timeout_ms):
+        self.asked.append(address)
         try:
             async with self.clock.timeout(timeout_ms):
                 await self.clock.sleep(5)
@@ -121,19 +123,21 @@
 class Members:
     """A membership in which all nodes are known."""
 
-    def __init__(self, names, me):
-        self.members = {name: member(name) for name in names}
+    def __init__(self, names, me, centres):
+        self.members = {}
+        for number, name in enumerate(names):
+            self.members[name] = member(name, f"centre-{number % centres}")
         self.me = self.members[me]
 
     def answering(self):
         return tuple(self.members)
 
 
-def member(name):
+def member(name, data_centre):
     return Member(
         id=name,
         address=name,
-        data_centre="cluj",
+        data_centre=data_centre,
         state=ALIVE,
         incarnation=1,
         revision=0,
@@ -144,17 +148,19 @@
 class Fleet:
     """Followers of one store."""
 
-    def __init__(self, count, seed=1):
+    def __init__(self, count, seed=1, centres=1):
         self.clock = VirtualClock()
         self.store = Store(self.clock)
         self.wires = Wires(self.clock)
         self.followers = {}
+        self.centres = {}
         self.feeds = {}
         self.tasks = []
         names = [f"node-{number}" for number in range(count)]
         for name in names:
             rng = random.Random(f"{seed}{name}")
-            members = Members(names, name)
+            members = Members(names, name, centres)
+            self.centres[name] = members.me.data_centre
             feed = SharedFeed(StoreClient(self.store, name), self.wires, members, self.clock, rng)
             follower = Follower(feed, ServerRegistry(self.clock), self.clock, rng)
             server = PeerServer(Metrics())
@@ -185,9 +191,9 @@
         return found
 
 
-def play(count, scenario):
+def play(count, scenario, centres=1):
     async def run():
-        fleet = Fleet(count)
+        fleet = Fleet(count, centres=centres)
         fleet.start()
         await fleet.clock.sleep(8_000)
         try:
@@ -217,6 +223,34 @@
     assert calls <= WATCHERS * 55
 
 
+@pytest.mark.parametrize("centres", [2, 3, 6])
+def test_each_data_centre_has_a_watcher_that_its_nodes_ask(centres):
+    async def scenario(fleet):
+        del fleet.wires.asked[:]
+        await fleet.clock.sleep(10_000)
+        return {fleet.centres[name] for name in fleet.watchers()}, len(fleet.watchers()), fleet
+
+    found, count, fleet = play(66, scenario, centres)
+    assert len(found) == centres
+    assert WATCHERS <= count <= WATCHERS + centres
+    for name, feed in fleet.feeds.items():
+        if feed.is_direct:
+            continue
+        (first, *_others) = feed._watchers()
+        assert fleet.centres[first] == fleet.centres[name]
+
+
+def test_a_data_centre_whose_watcher_is_cut_learns_from_others_in_time():
+    async def scenario(fleet):
+        (watcher,) = [n for n in fleet.watchers() if fleet.centres[n] == "centre-0"]
+        fleet.wires.cut.add(watcher)
+        fleet.store.statements.append(ConfigurationSeen(table=a_table(9)))
+        await fleet.clock.sleep(3_000)
+        return [name for name in fleet.behind(9) if name != watcher]
+
+    assert play(66, scenario, centres=6) == []
+
+
 def test_a_change_is_everywhere_within_a_second():
     async def scenario(fleet):
         fleet.store.statements.append(ConfigurationSeen(table=a_table(9)))
--- a/packages/auburnhollow/src/auburnhollow/gossip/spreader.py
+++ b/packages/auburnhollow/src/auburnhollow/gossip/spreader.py
@@ -11,6 +11,8 @@
 log = logging.getLogger("gossip")
 
 FANOUT = 4
+# Of these, so many go to any peer, near or not.
+FAR = 1
 URGENT_PAUSE_MS = 10.0
 PAUSE_MS = 500.0
 SYNC_TIMEOUT_MS = 1_000.0
@@ -30,6 +32,8 @@
     :param targets: function that returns the addresses of all other live nodes.
     :param random: a :class:`random.Random`.
     :param urgent: kinds that are passed on at once.
+    :param near: function that returns those of the targets that are cheap to reach; most news goes
+        to them, and to one other peer. ``None`` when all are alike.
     """
 
     __slots__ = (
@@ -37,6 +41,7 @@
         "_clock",
         "_due_ms",
         "_metrics",
+        "_near",
         "_news",
         "_peers",
         "_random",
@@ -46,7 +51,9 @@
         "_wake",
     )
 
-    def __init__(self, table, peers, address, targets, random, clock, metrics, urgent=()):
+    def __init__(
+        self, table, peers, address, targets, random, clock, metrics, urgent=(), near=None
+    ):
         self._table = table
         self._peers = peers
         self._address = address
@@ -55,6 +62,7 @@
         self._clock = clock
         self._metrics = metrics
         self._urgent = frozenset(urgent)
+        self._near = near
         self._news = {}
         self._due_ms = None
         self._wake = asyncio.Event()
@@ -155,11 +163,18 @@
     def _push(self):
         news, self._news = list(self._news.values()), {}
         self._due_ms = None
-        targets = self._targets()
-        chosen = self._random.sample(targets, min(FANOUT, len(targets)))
-        for address in chosen:
+        for address in self._choose():
             self._send(address, news)
 
+    def _choose(self):
+        """Return the addresses of the peers that news goes to."""
+        targets = self._targets()
+        near = [] if self._near is None else self._near()
+        if len(near) < FANOUT:
+            return self._random.sample(targets, min(FANOUT, len(targets)))
+        chosen = self._random.sample(near, FANOUT - FAR)
+        return chosen + self._random.sample(targets, FAR)
+
     def _send(self, address, facts):
         for start in range(0, len(facts), MOST_FACTS_IN_PUSH):
             part = [fact.to_list() for fact in facts[start : start + MOST_FACTS_IN_PUSH]]
--- a/packages/auburnhollow/src/auburnhollow/membership/detector.py
+++ b/packages/auburnhollow/src/auburnhollow/membership/detector.py
@@ -46,6 +46,7 @@
         "_me",
         "_members",
         "_metrics",
+        "_near_targets",
         "_on_change",
         "_order",
         "_peers",
@@ -75,6 +76,7 @@
         self._answering = (me.id,)
         self._expired_ms = None
         self._targets = []
+        self._near_targets = []
         self._order = []
         self._suspected_ms = {}
         self._health = 0
@@ -110,6 +112,11 @@
         self._recount()
         return self._targets
 
+    def near_targets(self):
+        """Return the peer addresses of the other live nodes of this data centre."""
+        self._recount()
+        return self._near_targets
+
     def on_change(self, function):
         """Call ``function`` after a node came or went."""
         self._on_change.append(function)
@@ -307,8 +314,10 @@
         self._answering = tuple(
             node for node in self._present if self._members[node].state == ALIVE
         )
-        self._targets = [
-            self._members[node].address for node in self._present if node != self._me.id
+        others = [self._members[node] for node in self._present if node != self._me.id]
+        self._targets = [member.address for member in others]
+        self._near_targets = [
+            member.address for member in others if member.data_centre == self._me.data_centre
         ]
 
     def _expire(self):
