Ask another node when a subquery is lost, within that node's budget

Ruled out: takers without processor time (0.02 cores) and refusals (the error is silence).

Change: the lost subquery goes to another node of the data centre as a repeat; that node takes each send from its own budget and repeats nothing, so that a shard still runs on two servers at most. What was not sent is no repeat there. The sending moves to a module of its own. Tests first: an asker without budget gets the whole answer; without budgets nothing is sent twice; what was not sent costs no repeat.

--- a/packages/auburnhollow/src/auburnhollow/relay/aggregation.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/aggregation.py
@@ -53,7 +53,7 @@
             raise NotReady("this node takes no subqueries")
         dispatcher = self._dispatcher
         request, route = request_in(message, dispatcher.clock.now_ms(), WAY_MS)
-        progress = Progress(dispatcher, request, route)
+        progress = Progress(dispatcher, request, route, message.is_repeat)
         dispatcher.metrics.incr("relay.subqueries_taken")
         decide(
             log,
@@ -79,6 +79,7 @@
     """What has come of a subquery's shards, and what the asker has been told.
 
     :param dispatcher: :class:`~auburnhollow.relay.Dispatcher`.
+    :param is_repeat: whether servers may have run the request for another node.
     """
 
     __slots__ = (
@@ -94,13 +95,19 @@
         "_told",
     )
 
-    def __init__(self, dispatcher, request, route):
+    def __init__(self, dispatcher, request, route, is_repeat):
         self._clock = dispatcher.clock
         self._route = route
         self._changed = asyncio.Event()
         # No least share: the asker decides what is enough.
         self._fan_out = FanOut(
-            dispatcher, request, route, route.shards, least=0, on_change=self._changed.set
+            dispatcher,
+            request,
+            route,
+            route.shards,
+            least=0,
+            on_change=self._changed.set,
+            is_repeat=is_repeat,
         )
         self._fan_out.bound_repeats(attempts=1)
         self._legs = self._fan_out.legs
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -4,23 +4,19 @@
 import math
 
 from ..clock import MS_PER_SECOND
-from ..exceptions import BackendError, BackendRejected, PeerRefused, Ran
+from ..exceptions import BackendError, Ran
 from ..quarantine import fingerprint_of
 from . import failures, telling
 from .legs import Call, Leg
-from .messages import Answer
 from .outcomes import Outcomes
 from .repeats import LEAST_CALL_MS, Repeats
-from .subquery import LEAST_SHARDS, Subquery, subquery_of
+from .subqueries import Subqueries
 
 # The answer needs this long to reach the caller from here.
 ANSWER_MS = 15.0
 # A call that lost the race may still tell how its server is; its caller must not have left by then.
 LINGER_MS = 350.0
 HEDGE_AGAIN_MS = 30.0
-# A node that has taken a subquery tells of it well before the objective, and repeats nothing after
-# it; one that is silent for longer has most likely gone.
-OVERDUE_SHARE = 1.25
 
 
 class FanOut:
@@ -36,15 +32,17 @@
     :param aggregators: :class:`~auburnhollow.relay.subquery.Aggregators`, ``None`` to ask every
         server directly.
     :param on_change: function that is called when something has come of a call.
+    :param is_repeat: whether servers may have run the request already; then the first send of each
+        service is a repeat too.
     """
 
     __slots__ = (
-        "_aggregators",
         "_choice",
         "_clock",
         "_dispatcher",
         "_fingerprint",
         "_in",
+        "_is_repeat",
         "_least",
         "_legs",
         "_lingers",
@@ -61,12 +59,19 @@
     )
 
     def __init__(
-        self, dispatcher, request, route, services, least, aggregators=None, on_change=None
+        self,
+        dispatcher,
+        request,
+        route,
+        services,
+        least,
+        aggregators=None,
+        on_change=None,
+        is_repeat=False,
     ):
         self._dispatcher = dispatcher
-        self._aggregators = aggregators
         self._on_change = on_change
-        self._subqueries = []
+        self._is_repeat = is_repeat
         self._choice = dispatcher.choice
         self._clock = dispatcher.clock
         self._request = request
@@ -76,6 +81,7 @@
         self._fingerprint = fingerprint_of(route.name, request.identity)
         self._outcomes = Outcomes(dispatcher, request, self._times, self._fingerprint)
         self._repeats = Repeats(dispatcher, request, route, self._fingerprint)
+        self._subqueries = Subqueries(self, dispatcher, aggregators, request, route, self._repeats)
         self._legs = [Leg(service) for service in services]
         self._least = least
         self._in = 0
@@ -103,8 +109,8 @@
         self._repeats.bound(attempts, end_ms)
         for leg in self._legs:
             if leg.is_over and leg.answer is None:
-                self._repeat_failed(leg)
-        self._wake()
+                self.retry(leg)
+        self.wake()
 
     async def run(self):
         """Return the list of :class:`Leg` once enough of them are answered.
@@ -154,8 +160,7 @@
 
     def _send_all(self):
         """Send each leg, those to another data centre together where a node there takes them."""
-        if self._aggregators is not None:
-            self._aggregators.count_request()
+        self._subqueries.count_request()
         groups = {}
         for leg in self._legs:
             server = self._choose(leg)
@@ -163,74 +168,21 @@
                 continue
             groups.setdefault(server.data_centre, []).append((leg, server))
         for data_centre, pairs in groups.items():
-            if self._send_subquery(data_centre, [leg for leg, _server in pairs]):
+            if self._subqueries.send(data_centre, [leg for leg, _server in pairs]):
                 continue
             for leg, server in pairs:
-                self._dispatcher.budget(leg.service).count_request()
-                self._send(leg, server)
+                self.send_first(leg, server)
         self._note_change()
 
-    def _send_subquery(self, data_centre, legs):
-        """Ask for the legs through a node of the data centre; returns whether there is one."""
-        if self._aggregators is None:
-            return False
-        now_ms = self._clock.now_ms()
-        first_ms = self._request.received_ms + self._route.objective_ms * OVERDUE_SHARE
-        if len(legs) < LEAST_SHARDS or now_ms >= first_ms:
-            return False
-        member = self._aggregators.node_in(data_centre)
-        if member is None:
-            return False
-        key = self._aggregators.new_key()
-        message = subquery_of(key, self._request, self._route, legs, now_ms)
-        subquery = Subquery(self, member, legs)
-        for leg in legs:
-            leg.run = 1
-            leg.sent = 1
-        self._subqueries.append(subquery)
-        telling.subquery(self._request.id, subquery)
-        self._dispatcher.metrics.incr("relay.subqueries")
-        work = subquery.run(self._aggregators, message, first_ms, self._clock)
-        subquery.task = asyncio.get_running_loop().create_task(work)
-        return True
-
-    def take_part(self, leg, body, signature):
-        """Take that a shard has answered a subquery; ``body`` may hold other shards' records."""
-        leg.subquery = None
-        answer = Answer(status=200, headers=(), body=body, signature=signature, load=None)
-        self._take_success(leg, answer)
-        self._wake()
-
-    def take_failed_part(self, leg, run, tried):
-        """Take that a subquery will bring no answer of a shard.
-
-        :param run: how many servers may have run the request.
-        :param tried: ids of the servers that were asked.
-        """
-        leg.subquery = None
-        leg.run = run
-        leg.tried.extend(tried)
-        leg.error = BackendRejected("no server of the shard answered", ran=Ran.UNKNOWN)
-        self._repeat_failed(leg)
-        self._wake()
-
-    def take_lost_legs(self, subquery, legs, error):
-        """Take that a subquery has ended before it told of these legs."""
-        telling.lost_subquery(self._request.id, subquery, legs, error)
-        self._dispatcher.metrics.incr("relay.subqueries_lost")
-        may_have_run = subquery.may_have_run(error)
-        for leg in legs:
-            leg.error = BackendRejected(f"{subquery.member.id}: {error}", ran=Ran.UNKNOWN)
-            if not may_have_run:
-                leg.run = 0
-                leg.sent = 0
-                self._dispatcher.budget(leg.service).count_request()
-                self._send(leg)
-                continue
-            if isinstance(error, PeerRefused):
-                continue
-            self._repeat_failed(leg)
-        self._wake()
+    def send_first(self, leg, server=None):
+        """Send a leg for the first time, as a repeat where another node may have sent it."""
+        budget = self._dispatcher.budget(leg.service)
+        if not self._is_repeat:
+            budget.count_request()
+        elif not budget.try_spend():
+            self._dispatcher.metrics.incr("relay.budget_refusals")
+            return
+        self._send(leg, server)
 
     def _choose(self, leg):
         """Return the best server left for the leg, or ``None``."""
@@ -275,9 +227,9 @@
             self._quarantine.ended(call.server.id, self._fingerprint)
             leg.calls.remove(call)
             if leg.answer is None:
-                self._repeat_failed(leg)
+                self.retry(leg)
             if leg.answer is None or self._in >= self._least:
-                self._wake()
+                self.wake()
             self._note_change()
 
     def _take_answer(self, call, answer):
@@ -286,7 +238,7 @@
         if leg.answer is not None:
             return
         if answer.is_success:
-            self._take_success(leg, answer)
+            self.take_success(leg, answer)
             return
         leg.error = answer
         if self._route.shards or (answer.status >= 500 and self._repeats.may_repeat(leg)):
@@ -294,7 +246,8 @@
         leg.answer = answer
         self._in += 1
 
-    def _take_success(self, leg, answer):
+    def take_success(self, leg, answer):
+        """Take a good answer of a service."""
         leg.answer = answer
         self._in += 1
         if self._in == 1:
@@ -314,7 +267,7 @@
             return
         telling.calls(self._request, self._route, self._legs, self._times.work_ms, now_ms)
 
-    def _repeat_failed(self, leg):
+    def retry(self, leg):
         """Send a leg again whose calls have all failed."""
         if leg.calls or leg.error is None or self._lingers or not self._repeats.may_repeat(leg):
             self._settle_failed(leg)
@@ -368,7 +321,7 @@
                 next_ms = min(next_ms, leg.hedge_ms)
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
-        timer = loop.call_later(max(0.0, next_ms - now_ms) / MS_PER_SECOND, self._wake)
+        timer = loop.call_later(max(0.0, next_ms - now_ms) / MS_PER_SECOND, self.wake)
         try:
             await self._waiter
         finally:
@@ -379,15 +332,15 @@
         if self._on_change is not None:
             self._on_change()
 
-    def _wake(self):
+    def wake(self):
+        """Let the request look at its legs again."""
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
     def _end_calls(self):
         """End what still runs: at once when the caller is gone, else after a while."""
         loop = asyncio.get_running_loop()
-        for subquery in self._subqueries:
-            subquery.task.cancel()
+        self._subqueries.cancel()
         for leg in self._legs:
             for call in leg.calls:
                 if self._lingers:
--- a/packages/auburnhollow/src/auburnhollow/relay/subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subquery.py
@@ -46,6 +46,8 @@
 
     ``key`` is the asker's own for this subquery, ``age_ms`` how long the caller has waited. Until
     the asker sends :class:`SubqueryRepeats`, each shard may run the request on one server only.
+    ``is_repeat`` tells that servers may have run it for another node: then each send is taken from
+    the budget of repeats.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "objective_ms",
         "age_ms",
         "remaining_ms",
+        "is_repeat",
     )
 
 
@@ -284,12 +287,16 @@
 
     :param owner: :class:`~auburnhollow.relay.fanout.FanOut`, which is told what comes of it.
     :param legs: list of :class:`~auburnhollow.relay.legs.Leg`.
+    :param before: the :class:`Subquery` that was lost and that this one stands in for, or ``None``.
+    :param is_repeat: whether servers may have run the request already.
     """
 
-    __slots__ = ("_owner", "is_taken", "legs", "member", "task")
+    __slots__ = ("_owner", "before", "is_repeat", "is_taken", "legs", "member", "task")
 
-    def __init__(self, owner, member, legs):
+    def __init__(self, owner, member, legs, before=None, is_repeat=False):
         self._owner = owner
+        self.before = before
+        self.is_repeat = is_repeat
         self.member = member
         self.legs = legs
         self.is_taken = False
@@ -310,7 +317,7 @@
                     async for answer in answers:
                         if not self.is_taken:
                             self.is_taken = True
-                            aggregators.leave_repeats(self.member, message.key)
+                            self._leave_repeats(aggregators, message)
                         if isinstance(answer, SubqueryAnswer):
                             limit.reschedule(None)
                         self._take(answer)
@@ -330,6 +337,10 @@
         """Return whether servers may have run the request, given the error that ended it."""
         return self.is_taken or not isinstance(error, PeerUnreachable | PeerRefused)
 
+    def _leave_repeats(self, aggregators, message):
+        if not self.is_repeat:
+            aggregators.leave_repeats(self.member, message.key)
+
     def _take(self, answer):
         if isinstance(answer, SubqueryRepeated):
             for place in answer.places:
@@ -343,10 +354,10 @@
             self._owner.take_part(self.legs[place], body, signature)
             body = b""
         for place, run, tried in answer.failed:
-            self._owner.take_failed_part(self.legs[place], run, tried)
+            self._owner.take_failed_part(self.legs[place], run + self.is_repeat, tried)
 
 
-def subquery_of(key, request, route, legs, now_ms):
+def subquery_of(key, request, route, legs, now_ms, is_repeat):
     """Return the :class:`SubqueryAsk` for some legs of a request."""
     return SubqueryAsk(
         key=key,
@@ -364,6 +375,7 @@
         objective_ms=route.objective_ms,
         age_ms=now_ms - request.received_ms,
         remaining_ms=request.limit_ms - now_ms,
+        is_repeat=is_repeat,
     )
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
@@ -87,6 +87,11 @@
         for bed in (self.me, *self.others.values()):
             bed.allow_repeats(*SHARDS)
 
+    def other_budgets(self):
+        """Let the budgets of the other nodes allow repeats, this node's none."""
+        for bed in self.others.values():
+            bed.allow_repeats(*SHARDS)
+
     async def gather(self, name="r-1", **fields):
         """Send a request for all shards and return the merged answer."""
         route = a_route(SHARDS, **fields)
@@ -226,11 +231,55 @@
         await fleet.gather()
         taken = fleet.aggregators.node_in(OTHER).id
         await fleet.gather("r-2")
-        return first, taken, fleet.others[taken].servers.asked()
+        return first, taken, fleet.others[taken].servers.calls
 
-    first, taken, asked = play(scenario, others=3)
+    first, taken, calls = play(scenario, others=3)
     assert first != taken
-    assert len(asked) == len(FAR)
+    assert len([request for _, _, request in calls if request == "r-2"]) == len(FAR)
+
+
+def test_a_subquery_whose_packet_is_lost_goes_to_another_node():
+    """The load: one of many subqueries is not answered; the asker has no budget of its own."""
+
+    async def scenario(fleet):
+        fleet.other_budgets()
+        first = fleet.aggregators.node_in(OTHER).id
+        fleet.network.cut(["me"], [first])
+        merged = await fleet.gather(most_records=6)
+        return fleet, merged, fleet.clock.now_ms()
+
+    fleet, merged, took_ms = play(scenario, others=3)
+    assert merged.missing == 0
+    assert len(merged.body) == 16 * len(SHARDS)
+    assert took_ms < 150.0
+    assert max(fleet.runs().values()) <= 2
+    assert [name for name in fleet.me.servers.asked() if name.startswith("s")] == []
+
+
+def test_a_lost_subquery_is_a_repeat_at_the_node_that_stands_in():
+    async def scenario(fleet):
+        first = fleet.aggregators.node_in(OTHER).id
+        fleet.network.cut(["me"], [first])
+        try:
+            await fleet.gather()
+        except QueryError:
+            return fleet
+        return fleet
+
+    fleet = play(scenario, others=3, retry_ratio=0.0)
+    assert max(fleet.runs()[shard] for shard in FAR) <= 1
+
+
+def test_what_was_not_sent_is_no_repeat_at_the_node_that_stands_in():
+    async def scenario(fleet):
+        first = fleet.aggregators.node_in(OTHER).id
+        del fleet.network.streams[first]
+        return fleet, await fleet.gather()
+
+    fleet, merged = play(scenario, others=3, retry_ratio=0.0)
+    assert merged.missing == 0
+    assert set(fleet.runs().values()) == {1}
+    assert len(fleet.me.servers.calls) == len(NEAR)
 
 
 class Dying:
