Wait for a node that has taken a subquery, and play random histories of subqueries

Cause: a taker whose word of a repeat is held up by a lost packet looks silent at 1.25 objectives; the asker then had a third server run the shard.

Ruled out: the taker's own bound (its first sends are one a shard until it is left the repeats).

Change: after a taker has told that it works, only the end of its connection lets the asker go on; its late answers are still taken. The bound on late repeats at the taker is needless then. A connection that fails after its asker has left is counted instead of logged as a stray error. Tests: 60 seeds of servers and nodes that stall, die, refuse and are cut: answers hold just the parts that they name, no shard runs on more servers than its attempts; 10 seeds end in whole answers.

--- a/packages/auburnhollow/src/auburnhollow/peers/link.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/link.py
@@ -214,9 +214,15 @@
         if opening is None:
             opening = asyncio.get_running_loop().create_task(self._open(address))
             self._opening[address] = opening
-            opening.add_done_callback(lambda _task: self._opening.pop(address, None))
+            opening.add_done_callback(lambda task: self._opened(address, task))
         return await asyncio.shield(opening)
 
+    def _opened(self, address, task):
+        self._opening.pop(address, None)
+        # Those who asked may all have stopped waiting: nobody else looks at the error.
+        if not task.cancelled() and task.exception() is not None:
+            self._metrics.incr("peers.unreachable")
+
     async def _open(self, address):
         host, _, port = address.rpartition(":")
         try:
--- a/packages/auburnhollow/src/auburnhollow/peers/tests/test_peers.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Messages between nodes over real sockets."""
 
 import asyncio
+import gc
 
 import pytest
 
@@ -91,6 +92,27 @@
     asyncio.run(run())
 
 
+def test_a_connection_that_fails_after_its_asker_has_left_is_no_stray_error(monkeypatch, caplog):
+    async def run():
+        async def fail_late(*_address):
+            await asyncio.sleep(0.1)
+            raise ConnectionRefusedError
+
+        monkeypatch.setattr(asyncio, "open_connection", fail_late)
+        metrics = Metrics()
+        link = PeerLink(metrics)
+        with pytest.raises(PeerError):
+            await link.ask(f"{HOST}:9", Ping(sender="me", digest=0, facts=[]), 10.0)
+        await asyncio.sleep(0.2)
+        gc.collect()
+        return metrics.counts
+
+    counts = asyncio.run(run())
+    gc.collect()
+    assert counts["peers.unreachable"] == 1
+    assert "never retrieved" not in caplog.text
+
+
 NOT_MESSAGES = [
     b"\xc1",
     b"\x01",
--- a/packages/auburnhollow/src/auburnhollow/relay/aggregation.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/aggregation.py
@@ -14,8 +14,7 @@
 
 # One way between the data centres of a region; the exact time changes little.
 WAY_MS = 4.0
-# Until this share of the objective, parts wait for the others: one message then brings all. The
-# asker needs the other half where this node has gone.
+# Until this share of the objective, parts wait for the others: one message then brings all.
 FIRST_SHARE = 0.5
 
 
@@ -87,9 +86,7 @@
         "_clock",
         "_fan_out",
         "_first_ms",
-        "_is_quiet",
         "_legs",
-        "_objective_ms",
         "_repeats_told",
         "_route",
         "_told",
@@ -112,18 +109,12 @@
         self._fan_out.bound_repeats(attempts=1)
         self._legs = self._fan_out.legs
         self._first_ms = request.received_ms + route.objective_ms * FIRST_SHARE
-        self._objective_ms = request.received_ms + route.objective_ms
-        # The first answer shows that this node lives, even when there is nothing to tell.
-        self._is_quiet = True
         self._told = set()
         self._repeats_told = set()
 
     def allow_repeats(self):
-        """Let shards be asked of second servers until the objective.
-
-        After it, the asker may have done so itself.
-        """
-        self._fan_out.bound_repeats(self._route.attempts, self._objective_ms)
+        """Let shards be asked of second servers."""
+        self._fan_out.bound_repeats(self._route.attempts)
 
     async def run(self):
         """Ask the shards until each has answered or failed for good, or the time is over."""
@@ -148,8 +139,7 @@
             repeated = self._new_repeats()
             if repeated:
                 yield SubqueryRepeated(places=repeated)
-            if self._clock.now_ms() >= self._first_ms and (self._is_quiet or self._has_news()):
-                self._is_quiet = False
+            if self._clock.now_ms() >= self._first_ms and self._has_news():
                 yield self._answer(is_end=False)
 
     async def _wait(self):
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -1,7 +1,6 @@
 """One request on its way to one server of each of several services."""
 
 import asyncio
-import math
 
 from ..clock import MS_PER_SECOND
 from ..exceptions import BackendError, Ran
@@ -101,12 +100,12 @@
         """Whether servers have died under the request."""
         return self._repeats.is_suspect
 
-    def bound_repeats(self, attempts, end_ms=math.inf):
-        """Bound further sends as :meth:`Repeats.bound` does.
+    def bound_repeats(self, attempts):
+        """Let each service run the request on ``attempts`` servers.
 
         Services that have failed meanwhile are asked again where that allows it.
         """
-        self._repeats.bound(attempts, end_ms)
+        self._repeats.bound(attempts)
         for leg in self._legs:
             if leg.is_over and leg.answer is None:
                 self.retry(leg)
--- a/packages/auburnhollow/src/auburnhollow/relay/repeats.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/repeats.py
@@ -1,7 +1,5 @@
 """Whether a request may be sent once more to a service."""
 
-import math
-
 from ..exceptions import Ran
 
 # Servers that did not run the request do not count as attempts, but the sends are bounded.
@@ -19,7 +17,7 @@
     :param fingerprint: of the request, for quarantine.
     """
 
-    __slots__ = ("_attempts", "_dispatcher", "_end_ms", "_fingerprint", "_request", "_route")
+    __slots__ = ("_attempts", "_dispatcher", "_fingerprint", "_request", "_route")
 
     def __init__(self, dispatcher, request, route, fingerprint):
         self._dispatcher = dispatcher
@@ -27,17 +25,15 @@
         self._route = route
         self._fingerprint = fingerprint
         self._attempts = route.attempts
-        self._end_ms = math.inf
 
     @property
     def is_suspect(self):
         """Whether servers have died under the request."""
         return self._dispatcher.quarantine.is_suspect(self._fingerprint)
 
-    def bound(self, attempts, end_ms=math.inf):
-        """Let each service run the request on ``attempts`` servers, none more after ``end_ms``."""
+    def bound(self, attempts):
+        """Let each service run the request on ``attempts`` servers."""
         self._attempts = attempts
-        self._end_ms = end_ms
 
     def is_used_up(self, leg):
         """Return whether the leg has run on as many servers as the route ever allows."""
@@ -52,8 +48,7 @@
             return False
         if leg.run >= self._attempts or leg.sent >= self._attempts + REFUSED_SENDS:
             return False
-        now_ms = self._dispatcher.clock.now_ms()
-        return now_ms < self._end_ms and self._request.limit_ms - now_ms > LEAST_CALL_MS
+        return self._request.limit_ms - self._dispatcher.clock.now_ms() > LEAST_CALL_MS
 
     def try_spend(self, leg):
         """Take one repeat from the budget of the leg's service; returns whether there was one."""
--- a/packages/auburnhollow/src/auburnhollow/relay/subqueries.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subqueries.py
@@ -7,10 +7,6 @@
 from .messages import Answer
 from .subquery import LEAST_SHARDS, Subquery, subquery_of
 
-# A node that has taken a subquery tells of it well before the objective, and repeats nothing after
-# it; one that is silent for longer has most likely gone.
-OVERDUE_SHARE = 1.25
-
 
 class Subqueries:
     """Sends subqueries for a request, and takes what comes of them.
@@ -56,14 +52,13 @@
         """Ask for the legs through a node of the data centre; returns whether there is one."""
         if self._aggregators is None:
             return False
-        now_ms = self._dispatcher.clock.now_ms()
-        first_ms = self._request.received_ms + self._route.objective_ms * OVERDUE_SHARE
-        if len(legs) < LEAST_SHARDS or now_ms >= first_ms:
+        if len(legs) < LEAST_SHARDS:
             return False
         member = self._aggregators.node_in(data_centre)
         if member is None:
             return False
         key = self._aggregators.new_key()
+        now_ms = self._dispatcher.clock.now_ms()
         message = subquery_of(key, self._request, self._route, legs, now_ms, is_repeat)
         subquery = Subquery(self, member, legs, before, is_repeat)
         for leg in legs:
@@ -72,7 +67,7 @@
         self._sent.append(subquery)
         telling.subquery(self._request.id, subquery)
         self._dispatcher.metrics.incr("relay.subqueries")
-        work = subquery.run(self._aggregators, message, first_ms, self._dispatcher.clock)
+        work = subquery.run(self._aggregators, message)
         subquery.task = asyncio.get_running_loop().create_task(work)
         return True
 
--- a/packages/auburnhollow/src/auburnhollow/relay/subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subquery.py
@@ -283,7 +283,9 @@
     """Some legs of a request, asked through ``member``.
 
     A taker that is not heard of may still be at work. It then runs the request on one server of
-    each shard at most, since it was not left the repeats; one more is the asker's.
+    each shard at most, since it was not left the repeats; one more is the asker's. One that has
+    taken the subquery and is silent may have used all attempts: only the end of the connection,
+    which ends its work, lets the asker go on.
 
     :param owner: :class:`~auburnhollow.relay.fanout.FanOut`, which is told what comes of it.
     :param legs: list of :class:`~auburnhollow.relay.legs.Leg`.
@@ -304,28 +306,18 @@
         for leg in legs:
             leg.subquery = self
 
-    async def run(self, aggregators, message, first_ms, clock):
-        """Ask, and tell the owner of each answer and of the end.
-
-        :param first_ms: when the first part of the answer must have come.
-        """
+    async def run(self, aggregators, message):
+        """Ask, and tell the owner of each answer and of the end."""
         error = None
         try:
-            async with clock.timeout(first_ms - clock.now_ms()) as limit:
-                answers = aggregators.ask(self.member, message)
-                async with aclosing(answers):
-                    async for answer in answers:
-                        if not self.is_taken:
-                            self.is_taken = True
-                            self._leave_repeats(aggregators, message)
-                        if isinstance(answer, SubqueryAnswer):
-                            limit.reschedule(None)
-                        self._take(answer)
+            async with aclosing(aggregators.ask(self.member, message)) as answers:
+                async for answer in answers:
+                    if not self.is_taken:
+                        self.is_taken = True
+                        self._leave_repeats(aggregators, message)
+                    self._take(answer)
         except PeerError as failure:
             error = failure
-        except TimeoutError as failure:
-            error = failure
-            aggregators.leave_alone(self.member, failure)
         finally:
             left = [leg for leg in self.legs if leg.subquery is self]
             for leg in left:
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery_histories.py
@@ -0,0 +1,137 @@
+"""Random histories of subqueries: what must hold whatever nodes and servers do."""
+
+import asyncio
+import math
+import random
+
+import pytest
+
+from auburnhollow.exceptions import NotReady, PeerError, QueryError
+from auburnhollow.relay.merge import RECORD_BYTES
+from auburnhollow_standins.fake_servers import CUT
+
+from .test_subquery import OTHER, REPLICAS, SHARDS, play
+
+ATTEMPTS = 2
+REQUESTS = 25
+SERVER_FAULTS = (20.0, 20.0, 20.0, 60.0, 300.0, 900.0, CUT, 500)
+
+
+class FaultyTaker:
+    """Takes subqueries like the node it stands for, or stalls, dies or refuses at random."""
+
+    def __init__(self, fleet, name, rng):
+        self._answer = fleet.takers[name].answer
+        self._clock = fleet.clock
+        self._rng = rng
+        self.is_calm = False
+        fleet.network.streams[name] = self.answer
+
+    async def answer(self, message):
+        kind = "well" if self.is_calm else self._rng.choice(("well", "well", "stall", "die", "no"))
+        if kind == "no":
+            raise NotReady("stopping")
+        moment_ms = self._clock.now_ms() + self._rng.uniform(0.0, 300.0)
+        if kind != "die":
+            moment_ms = math.inf
+        answers = self._answer(message)
+        try:
+            while True:
+                async with self._clock.timeout(moment_ms - self._clock.now_ms()):
+                    each = await anext(answers)
+                if kind == "stall":
+                    await self._clock.sleep(self._rng.uniform(0.0, 400.0))
+                yield each
+        except TimeoutError:
+            raise PeerError("connection lost") from None
+        except StopAsyncIteration:
+            return
+        finally:
+            await answers.aclose()
+
+
+async def play_history(fleet, seed):
+    """Send requests under random faults; returns the answers by request."""
+    rng = random.Random(seed)
+    fleet.allow_repeats()
+    takers = [FaultyTaker(fleet, name, rng) for name in fleet.others]
+    servers = [f"{shard}-{n}" for shard, centres in REPLICAS.items() for n in range(len(centres))]
+    tasks = {}
+    for number in range(REQUESTS):
+        for server in rng.sample(servers, 3):
+            fleet.set_behaviour(server, rng.choice(SERVER_FAULTS))
+        if rng.random() < 0.2:
+            fleet.network.cut(["me"], [rng.choice(list(fleet.others))])
+        if rng.random() < 0.3:
+            fleet.network.heal()
+        name = f"r-{number}"
+        tasks[name] = asyncio.create_task(fleet.gather(name, most_records=4))
+        await fleet.clock.sleep(rng.uniform(0.0, 120.0))
+    await asyncio.gather(*tasks.values(), return_exceptions=True)
+    await fleet.clock.sleep(2_000.0)
+    return tasks, takers
+
+
+def check_answer(merged):
+    """Check that an answer is the greatest records of just the parts that it names."""
+    servers = [signature.removeprefix("signed-") for signature in merged.signatures]
+    shards = [server.partition("-")[0] for server in servers]
+    assert len(set(shards)) == len(shards)
+    assert len(shards) + merged.missing == len(SHARDS)
+    records = sorted(
+        (server.encode().ljust(RECORD_BYTES, b".") for server in servers), reverse=True
+    )
+    assert merged.body == b"".join(records[:4])
+
+
+def runs_by_request(fleet):
+    """Return on how many servers each shard ran each request."""
+    found = {}
+    for bed in (fleet.me, *fleet.others.values()):
+        for _, server, request in bed.servers.calls:
+            key = (request, server.partition("-")[0])
+            found[key] = found.get(key, 0) + 1
+    return found
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_answers_are_true_and_attempts_are_kept(seed):
+    async def scenario(fleet):
+        tasks, _ = await play_history(fleet, seed)
+        return fleet, tasks
+
+    fleet, tasks = play(scenario, others=3)
+    answered = 0
+    for task in tasks.values():
+        if task.exception() is not None:
+            assert isinstance(task.exception(), QueryError)
+            continue
+        answered += 1
+        check_answer(task.result())
+    assert answered > 0
+    assert max(runs_by_request(fleet).values()) <= ATTEMPTS
+    assert all(taker.in_progress == 0 for taker in fleet.takers.values())
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_after_the_faults_every_answer_is_whole(seed):
+    async def scenario(fleet):
+        _, takers = await play_history(fleet, seed)
+        fleet.network.heal()
+        for bed in (fleet.me, *fleet.others.values()):
+            bed.servers.behaviour.clear()
+        for taker in takers:
+            taker.is_calm = True
+        await fleet.clock.sleep(12_000.0)
+        for number in range(12):
+            await fleet.gather(f"calm-{number}")
+        found = []
+        for number in range(12):
+            found.append(await fleet.gather(f"after-{number}", most_records=4))
+        return found, fleet.aggregators.node_in(OTHER)
+
+    found, node = play(scenario, others=3)
+    assert node is not None
+    for merged in found:
+        check_answer(merged)
+        assert merged.missing == 0
