Read the sockets after a stall before anything counts as late

All 27 answers of its own servers and the word of the taker had come meanwhile, but timers fire before sockets are read: the subquery was given up, and 27 repeats were sent. Hedges after a stall have the same cause.

Ruled out: a lost packet (the taker's log has the subquery after 6 ms; all own calls end at 136 to 137 ms).

Change: when a timer fires more than 12 ms after it was due, the node reads for 4 ms first. Test first: four answers in the sockets of a node that stood still for 150 ms; four hedges before, none now.

--- a/packages/auburnhollow/src/auburnhollow/clock.py
+++ b/packages/auburnhollow/src/auburnhollow/clock.py
@@ -4,6 +4,10 @@
 import time
 
 MS_PER_SECOND = 1000.0
+# Timers fire a few milliseconds late in a busy loop; more is a process that had no processor.
+STALL_MS = 12.0
+# Reading what a stall has left in the sockets takes less.
+CATCH_UP_MS = 4.0
 
 
 class Clock:
@@ -39,6 +43,19 @@
         """Return a context manager that raises :class:`TimeoutError` after ``duration_ms``."""
         return asyncio.timeout(max(0.0, duration_ms) / MS_PER_SECOND)
 
+    async def catch_up(self, due_ms):
+        """Let what has arrived be read, if this process stood still when a timer was due.
+
+        After a stall timers fire before sockets are read: what seems late may be here already.
+
+        :param due_ms: when the timer was due, in milliseconds of :meth:`now_ms`.
+        :returns: whether there was a stall.
+        """
+        if self.now_ms() - due_ms < STALL_MS:
+            return False
+        await self.sleep(CATCH_UP_MS)
+        return True
+
 
 class ManualClock(Clock):
     """A clock that a test moves by hand.
--- a/packages/auburnhollow/src/auburnhollow/peers/link.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/link.py
@@ -141,8 +141,7 @@
         is_over = False
         try:
             self._write(connection, pack(message, number))
-            async with self._clock.timeout(first_ms):
-                answer = await question.next()
+            answer = await self._first_answer(question, first_ms)
             while True:
                 is_over = answer.is_last
                 if isinstance(answer, Failure):
@@ -261,6 +260,16 @@
             raise PeerUnreachable(f"{address}: {error!r}") from error
         return self._attach(address, reader, writer)
 
+    async def _first_answer(self, question, first_ms):
+        due_ms = self._clock.now_ms() + first_ms
+        try:
+            async with self._clock.timeout(first_ms):
+                return await question.next()
+        except TimeoutError:
+            if not await self._clock.catch_up(due_ms) or question.is_silent:
+                raise
+        return await question.next()
+
     def _return(self, address, connection, question):
         """Keep a connection for the next stream, unless it may have gone silent."""
         idle = self._idle.setdefault(address, [])
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -326,6 +326,7 @@
         finally:
             timer.cancel()
             self._waiter = None
+        await self._clock.catch_up(max(now_ms, next_ms))
 
     def _note_change(self):
         if self._on_change is not None:
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -431,3 +431,49 @@
         return await bed.dispatcher.pass_on(a_request(bed.clock, "r-3"), a_route(), "search")
 
     assert run_virtually(play()).is_success
+
+
+class Sockets:
+    """A client whose answers lie in sockets until the event loop reads them.
+
+    After a stall, timers that are due fire first, as in the event loop of a real node.
+    """
+
+    def __init__(self, servers):
+        self._servers = servers
+        self._arrived = asyncio.Event()
+
+    async def send(self, server, request, remaining_ms):
+        answer = await self._servers.send(server, request, remaining_ms)
+        await self._arrived.wait()
+        # Reading takes some turns of the loop: head, body, the end of the task.
+        for _ in range(6):
+            await asyncio.sleep(0)
+        return answer
+
+    async def stall(self, duration_ms):
+        """Let the process stand still, and read the sockets only after what is due."""
+        loop = asyncio.get_running_loop()
+        loop.now_s += duration_ms / 1000
+        for _ in range(3):
+            await asyncio.sleep(0)
+        self._arrived.set()
+
+
+def test_answers_that_came_during_a_stall_of_the_node_are_not_hedged():
+    """The load: a node without processor time for 150 ms, with answers in its sockets."""
+
+    async def play():
+        bed = bed_of()
+        bed.allow_repeats(*SHARDS)
+        sockets = Sockets(bed.servers)
+        bed.dispatcher.client = sockets
+        task = asyncio.create_task(bed.dispatcher.gather(a_request(bed.clock), a_route(SHARDS)))
+        await bed.clock.sleep(22.0)
+        await sockets.stall(150.0)
+        merged = await task
+        return bed, merged
+
+    bed, merged = run_virtually(play())
+    assert merged.missing == 0
+    assert len(bed.servers.calls) == len(SHARDS)
