Close what the peer has closed, and leave a failed shard to the asker

Found by reading the change as a newcomer: - An idle connection between nodes that its peer had closed was used again; its stream was silent for a third of the objective, after each restart of a node. It is closed with the end of the reading. - A taker that is left the repeats late, after it has told a shard as failed, asked that shard again beside the asker: three servers of two. - Of several repeats of a shard only the first was told.

Each has a test that failed before.

--- a/packages/auburnhollow/src/auburnhollow/peers/link.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/link.py
@@ -296,6 +296,7 @@
         finally:
             if self._connections.get(address) is connection:
                 self._drop(address)
+            connection.writer.close()
             self._fail(connection, address)
 
     def _drop(self, address):
--- a/packages/auburnhollow/src/auburnhollow/peers/tests/test_streams.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/tests/test_streams.py
@@ -222,6 +222,19 @@
     asyncio.run(run())
 
 
+def test_a_connection_that_the_peer_has_closed_is_not_used_again():
+    async def run():
+        async with Pair(three_parts) as pair:
+            assert await pair.numbers() == [0, 1, 2]
+            host, _, port = pair.address.rpartition(":")
+            await pair.server.close()
+            await asyncio.sleep(0.05)
+            await pair.server.start(host, int(port))
+            assert await pair.numbers(first_ms=500.0) == [0, 1, 2]
+
+    asyncio.run(run())
+
+
 def test_single_answers_still_have_one():
     async def run():
         async with Pair(three_parts) as pair:
--- a/packages/auburnhollow/src/auburnhollow/relay/aggregation.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/aggregation.py
@@ -1,4 +1,4 @@
-"""Answering the subqueries of nodes in other data centres."""
+"""Answering the subqueries of other nodes."""
 
 import asyncio
 import logging
@@ -70,7 +70,7 @@
             async for each in progress.messages(task):
                 yield each
         finally:
-            del self._in_progress[message.key]
+            self._in_progress.pop(message.key, None)
             task.cancel()
 
 
@@ -87,8 +87,8 @@
         "_fan_out",
         "_first_ms",
         "_legs",
-        "_repeats_told",
         "_route",
+        "_runs_told",
         "_told",
     )
 
@@ -110,7 +110,7 @@
         self._legs = self._fan_out.legs
         self._first_ms = request.received_ms + route.objective_ms * FIRST_SHARE
         self._told = set()
-        self._repeats_told = set()
+        self._runs_told = [1] * len(self._legs)
 
     def allow_repeats(self):
         """Let shards be asked of second servers."""
@@ -158,10 +158,11 @@
     def _new_repeats(self):
         found = []
         for place, leg in enumerate(self._legs):
-            if leg.run < 2 or place in self._repeats_told or leg.is_over:
+            untold = leg.run - self._runs_told[place]
+            if untold <= 0 or leg.is_over:
                 continue
-            self._repeats_told.add(place)
-            found.append(place)
+            self._runs_told[place] = leg.run
+            found.extend([place] * untold)
         return found
 
     def _has_news(self):
@@ -177,6 +178,8 @@
             self._told.add(place)
             if leg.answer is None:
                 failed.append([place, self._run_of(leg), leg.tried])
+                # The asker goes on with it from here.
+                leg.error = None
                 continue
             bodies.append(leg.answer.body)
             signatures.append([place, leg.answer.signature])
--- a/packages/auburnhollow/src/auburnhollow/relay/subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subquery.py
@@ -84,14 +84,14 @@
 
 @register("subquery-repeats")
 class SubqueryRepeats(Message):
-    """The asker leaves all repeats of a subquery to its taker, up to the objective."""
+    """The asker leaves all repeats of a subquery to its taker."""
 
     __slots__ = ("key",)
 
 
 @register("subquery-repeated")
 class SubqueryRepeated(Message):
-    """The shards at ``places`` are asked of a second server."""
+    """The shards at ``places`` are asked of one more server."""
 
     __slots__ = ("places",)
 
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
@@ -347,6 +347,42 @@
     assert max(play(scenario).runs().values()) <= 2
 
 
+def test_a_shard_that_was_told_as_failed_is_the_askers_even_when_repeats_are_left_late():
+    """The load: the packet that leaves the repeats is lost and comes 200 ms later."""
+
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        fleet.other.servers.behaviour.update({"s1-0": CUT, "s1-1": CUT})
+        allow = fleet.takers["other-0"].allow_repeats
+
+        async def late(message):
+            await fleet.clock.sleep(200.0)
+            await allow(message)
+
+        fleet.network.handlers["other-0"] = late
+        fleet.set_behaviour("s2-0", 300.0)
+        fleet.set_behaviour("s2-1", 300.0)
+        await asyncio.gather(fleet.gather(least_share=1.0), return_exceptions=True)
+        await fleet.clock.sleep(1_000.0)
+        return fleet
+
+    assert max(play(scenario).runs().values()) <= 2
+
+
+def test_each_repeat_is_told_where_a_route_allows_several():
+    async def scenario(fleet):
+        fleet.allow_repeats()
+        for shard in FAR:
+            fleet.set_behaviour(f"{shard}-0", 900.0)
+            fleet.set_behaviour(f"{shard}-1", 900.0)
+        Dying(fleet, "other-0", after_ms=150.0)
+        await asyncio.gather(fleet.gather(attempts=3), return_exceptions=True)
+        await fleet.clock.sleep(1_000.0)
+        return fleet
+
+    assert max(play(scenario).runs().values()) <= 3
+
+
 @pytest.mark.parametrize("after_ms", [10.0, 60.0, 110.0, 150.0])
 def test_no_shard_runs_on_more_servers_than_its_attempts_when_the_node_dies(after_ms):
     async def scenario(fleet):
