--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -20,9 +20,10 @@
 from auburnhollow.quarantine.spread import DeathSpread
 from auburnhollow.relay import Dispatcher, DispatchSettings
 from auburnhollow.relay.aggregation import SubqueryServer
+from auburnhollow.relay.aggregators import Aggregators
 from auburnhollow.relay.choice import Choice
 from auburnhollow.relay.fanout import ANSWER_MS
-from auburnhollow.relay.subquery import Aggregators, SubqueryAsk, SubqueryRepeats
+from auburnhollow.relay.subquery import SubqueryAsk, SubqueryRepeats
 from auburnhollow.retry import spread_ms
 from auburnhollow.servers import ServerRegistry
 
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -36,7 +36,7 @@
     :param quarantine: :class:`~auburnhollow.quarantine.Quarantine`.
     :param settings: :class:`DispatchSettings`.
     :param count_nodes: function that returns how many nodes are known, this one included.
-    :param aggregators: :class:`~auburnhollow.relay.subquery.Aggregators`, or ``None``.
+    :param aggregators: :class:`~auburnhollow.relay.aggregators.Aggregators`, or ``None``.
 
     >>> merged = await dispatcher.gather(request, route)
     """
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -28,7 +28,7 @@
     :param dispatcher: :class:`~auburnhollow.relay.Dispatcher`.
     :param services: names of the services to ask.
     :param least: how many of them must answer; 0 to wait for all that may still come.
-    :param aggregators: :class:`~auburnhollow.relay.subquery.Aggregators`, ``None`` to ask every
+    :param aggregators: :class:`~auburnhollow.relay.aggregators.Aggregators`, ``None`` to ask every
         server directly.
     :param on_change: function that is called when something has come of a call.
     :param is_repeat: whether servers may have run the request already; then the first send of each
--- a/packages/auburnhollow/src/auburnhollow/relay/legs.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/legs.py
@@ -40,7 +40,7 @@
     :class:`~auburnhollow.relay.Answer` that counts, ``error`` the last failure, ``run`` how many
     servers may have run the request, ``sent`` how often it was sent, ``tried`` the ids of the
     servers, ``hedge_ms`` when another server is to be asked, ``subquery`` the
-    :class:`~auburnhollow.relay.subquery.Subquery` that the service is being asked through.
+    :class:`~auburnhollow.relay.subqueries.Subquery` that the service is being asked through.
     """
 
     __slots__ = (
--- a/packages/auburnhollow/src/auburnhollow/relay/subqueries.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subqueries.py
@@ -1,11 +1,85 @@
 """The subqueries of one request."""
 
 import asyncio
+from contextlib import aclosing
 
-from ..exceptions import BackendRejected, PeerRefused, Ran
+from ..exceptions import BackendRejected, PeerError, PeerRefused, PeerUnreachable, Ran
 from . import telling
 from .messages import Answer
-from .subquery import LEAST_SHARDS, Subquery, subquery_of
+from .subquery import SubqueryAnswer, SubqueryRepeated, subquery_of
+
+# Fewer calls than this are not worth a detour.
+LEAST_SHARDS = 3
+
+
+class Subquery:
+    """Some legs of a request, asked through ``member``.
+
+    A taker that is not heard of may still be at work. It then runs the request on one server of
+    each shard at most, since it was not left the repeats; one more is the asker's. One that has
+    taken the subquery and is silent may have used all attempts: only the end of the connection,
+    which ends its work, lets the asker go on.
+
+    :param owner: :class:`Subqueries`, which is told what comes of it.
+    :param legs: list of :class:`~auburnhollow.relay.legs.Leg`.
+    :param before: the :class:`Subquery` that was lost and that this one stands in for, or ``None``.
+    :param is_repeat: whether servers may have run the request already.
+    """
+
+    __slots__ = ("_owner", "before", "is_repeat", "is_taken", "legs", "member", "task")
+
+    def __init__(self, owner, member, legs, before=None, is_repeat=False):
+        self._owner = owner
+        self.before = before
+        self.is_repeat = is_repeat
+        self.member = member
+        self.legs = legs
+        self.is_taken = False
+        self.task = None
+        for leg in legs:
+            leg.subquery = self
+
+    async def run(self, aggregators, message):
+        """Ask, and tell the owner of each answer and of the end."""
+        error = None
+        try:
+            async with aclosing(aggregators.ask(self.member, message)) as answers:
+                async for answer in answers:
+                    if not self.is_taken:
+                        self.is_taken = True
+                        self._leave_repeats(aggregators, message)
+                    self._take(answer)
+        except PeerError as failure:
+            error = failure
+        finally:
+            left = [leg for leg in self.legs if leg.subquery is self]
+            for leg in left:
+                leg.subquery = None
+        if left:
+            self._owner.take_lost_legs(self, left, error)
+
+    def may_have_run(self, error):
+        """Return whether servers may have run the request, given the error that ended it."""
+        return self.is_taken or not isinstance(error, PeerUnreachable | PeerRefused)
+
+    def _leave_repeats(self, aggregators, message):
+        if not self.is_repeat:
+            aggregators.leave_repeats(self.member, message.key)
+
+    def _take(self, answer):
+        if isinstance(answer, SubqueryRepeated):
+            for place in answer.places:
+                self.legs[place].run += 1
+            return
+        if not isinstance(answer, SubqueryAnswer):
+            return
+        body = answer.body
+        for place, signature in answer.signatures:
+            # The records of all these shards are merged already: one of them bears them.
+            self._owner.take_part(self.legs[place], body, signature)
+            body = b""
+        for place, run, tried in answer.failed:
+            self._owner.take_failed_part(self.legs[place], run + self.is_repeat, tried)
 
 
 class Subqueries:
@@ -13,7 +87,7 @@
 
     :param fan_out: :class:`~auburnhollow.relay.fanout.FanOut` of the request.
     :param dispatcher: :class:`~auburnhollow.relay.Dispatcher`.
-    :param aggregators: :class:`~auburnhollow.relay.subquery.Aggregators`, ``None`` to send none.
+    :param aggregators: :class:`~auburnhollow.relay.aggregators.Aggregators`, ``None`` to send none.
     :param request: :class:`~auburnhollow.relay.Request`.
     :param route: its :class:`~auburnhollow.routes.Route`.
     :param repeats: :class:`~auburnhollow.relay.repeats.Repeats`.
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
@@ -8,7 +8,7 @@
 from auburnhollow.exceptions import BackendDied, PeerError, Quarantined, QueryError
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.relay.aggregation import SubqueryServer
-from auburnhollow.relay.subquery import LEAST_AGGREGATORS, Aggregators
+from auburnhollow.relay.aggregators import LEAST_AGGREGATORS, Aggregators
 from auburnhollow_standins.fake_peers import FakePeers, Network
 from auburnhollow_standins.fake_servers import CUT, RelayBed, a_request, a_route
 from auburnhollow_standins.virtual import VirtualClock, run_virtually
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -127,7 +127,7 @@
 
     :param replicas: dictionary of services to data centres of their servers.
     :param home: data centre of the node.
-    :param aggregators: :class:`~auburnhollow.relay.subquery.Aggregators`, or ``None``.
+    :param aggregators: :class:`~auburnhollow.relay.aggregators.Aggregators`, or ``None``.
     """
 
     __slots__ = ("clock", "dispatcher", "registry", "servers")
