Serve callers who have connected before a node stops listening

Cause: at the end of the linger the node closed its listening socket and each connection without a request at once. A caller that the system had accepted and the program had not yet, one that had connected and not yet sent, and one that had sent half a request were cut. Ruled out: requests in progress (they were always finished). Change: a socket first refuses new handshakes, by a filter that drops first packets only; what the system has accepted is taken; then it is closed. Fresh connections have half a second for their first request, half requests are waited for.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -116,13 +116,13 @@
     with suppress(TimeoutError):
         async with node.clock.timeout(settings.linger_ms):
             await kill.wait()
-    front.stop_listening()
-    front.close_idle()
-    while (front.connections or node.in_progress) and not kill.is_set():
+    ending = asyncio.get_running_loop().create_task(front.stop())
+    while (not ending.done() or node.in_progress) and not kill.is_set():
         if node.clock.now_ms() - started_ms > settings.shutdown_ms:
             decide(log, "requests cut by the end of the grace period", count=node.in_progress)
-            return
+            break
         await node.clock.sleep(DRAIN_POLL_MS)
+    ending.cancel()
 
 
 def run(settings, path, sockets):
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/server.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/server.py
@@ -6,10 +6,16 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from .sockets import refuse_new
+
 KEEP_ALIVE_S = 60.0
 # Callers reuse a connection for up to four fifths of the limit; the rest is for their way here.
 IDLE_SHARE = 1.25
-
+# Who connects sends at once: several ways between regions, and a few turns of a busy node.
+FIRST_REQUEST_S = 0.5
+# Handshakes that have begun need one way there and back; then all of them are accepted.
+SETTLE_S = 0.05
+POLL_S = 0.02
 
 TOO_LONG = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\ncontent-length: 0\r\n"
@@ -26,9 +32,19 @@
 
     limits = None
 
+    @property
+    def may_send(self):
+        """Whether a request is on its way, or may be since the caller has just come."""
+        if self._has_head():
+            return False
+        if self._head_bytes:
+            return True
+        return self.cycle is None and self.loop.time() - self._made_s < FIRST_REQUEST_S
+
     def connection_made(self, transport):
         """Give the caller a bounded time for its first request."""
         super().connection_made(transport)
+        self._made_s = self.loop.time()
         self._head_bytes = 0
         self._head_timer = None
         self._await_head()
@@ -94,7 +110,7 @@
     :param app: the ASGI application.
     """
 
-    __slots__ = ("_config", "_listeners", "_state", "limits")
+    __slots__ = ("_config", "_listeners", "_sockets", "_state", "limits")
 
     def __init__(self, app):
         self._config = uvicorn.Config(
@@ -111,6 +127,7 @@
         self._config.load()
         self._state = ServerState()
         self._listeners = []
+        self._sockets = []
         self.limits = lambda: None
 
     @property
@@ -121,6 +138,7 @@
     async def listen(self, sockets):
         """Accept connections on sockets that listen already."""
         loop = asyncio.get_running_loop()
+        self._sockets = list(sockets)
         for each in sockets:
             self._listeners.append(await loop.create_server(self._protocol, sock=each))
 
@@ -128,22 +146,37 @@
         """Let each connection end with its next answer."""
         self._state.default_headers = [(b"connection", b"close")]
 
-    def stop_listening(self):
-        """Accept no more connections."""
-        for listener in self._listeners:
-            listener.close()
-
-    def close_idle(self):
-        """Close the connections without a request; the others end with their answers."""
-        for connection in list(self._state.connections):
-            connection.shutdown()
+    async def stop(self):
+        """Accept no more connections, and wait until each has had its last answer.
+
+        Those that the system has accepted are served first, and callers who have just come may
+        still send a request.
+        """
+        self.close_after_answers()
+        for each in self._sockets:
+            refuse_new(each)
+        await asyncio.sleep(SETTLE_S)
+        self._stop_listening()
+        while self._state.connections:
+            self._close_idle()
+            await asyncio.sleep(POLL_S)
 
     def close(self):
         """Stop listening and close all connections."""
-        self.stop_listening()
+        self._stop_listening()
         for connection in list(self._state.connections):
             connection.transport.close()
 
+    def _stop_listening(self):
+        for listener in self._listeners:
+            listener.close()
+
+    def _close_idle(self):
+        """Close the connections without a request; the others end with their answers."""
+        for connection in list(self._state.connections):
+            if not connection.may_send:
+                connection.shutdown()
+
     def _protocol(self):
         protocol = PassingProtocol(config=self._config, server_state=self._state, app_state={})
         limits = self.limits()
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/sockets.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/sockets.py
@@ -4,8 +4,21 @@
 """
 
 import socket
+import struct
+import sys
 
 BACKLOG = 1024
+# From the Linux headers: the option, and a program of four steps for arriving packets.
+SO_ATTACH_FILTER = 26
+WITHOUT_FIRST_PACKETS = b"".join(
+    struct.pack("HBBI", *step)
+    for step in (
+        (0x30, 0, 0, 13),  # load the flags of the TCP header
+        (0x45, 0, 1, 0x10),  # a handshake's first packet alone bears no ACK
+        (0x06, 0, 0, 0xFFFF),  # keep
+        (0x06, 0, 0, 0),  # drop
+    )
+)
 
 
 class Sockets:
@@ -34,3 +47,20 @@
     opened.listen(BACKLOG)
     opened.setblocking(False)
     return opened
+
+
+def refuse_new(listening):
+    """Let no further connection begin on a listening socket; those that have begun go on.
+
+    Once the socket is closed, callers that tried meanwhile find nobody there. Closing it alone
+    would cut those that the system has accepted and the program has not.
+    """
+    if sys.platform != "linux":
+        return
+    # Only here: a start must not wait for it.
+    import ctypes
+
+    steps = ctypes.create_string_buffer(WITHOUT_FIRST_PACKETS)
+    count = len(WITHOUT_FIRST_PACKETS) // struct.calcsize("HBBI")
+    program = struct.pack("HP", count, ctypes.addressof(steps))
+    listening.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
--- /dev/null
+++ b/packages/auburnhollow-node/tests/test_last_connections.py
@@ -0,0 +1,161 @@
+"""Callers who connect, or send, just as a node ends its last connections."""
+
+import asyncio
+import errno
+import socket
+
+import pytest
+import uvloop
+
+from auburnhollow_node.relay import server as serving
+from auburnhollow_node.relay.server import PassingServer
+from auburnhollow_node.relay.sockets import listen
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+LATER_S = 0.05
+# Longer than any of these tests takes.
+LONG_S = 10.0
+LOOPS = pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+
+
+async def app(_scope, _receive, send):
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"0")]}
+    )
+    await send({"type": "http.response.body", "body": b""})
+
+
+class Caller:
+    """A caller whose sends need no turn of the event loop."""
+
+    def __init__(self, address):
+        self._socket = socket.create_connection(address)
+
+    def send(self, data=REQUEST):
+        self._socket.sendall(data)
+
+    async def answer(self):
+        """Return all bytes until the connection ends."""
+        return await asyncio.to_thread(self._read)
+
+    def _read(self):
+        found = b""
+        self._socket.settimeout(5)
+        with self._socket:
+            while data := self._socket.recv(4096):
+                found += data
+        return found
+
+
+async def serve():
+    """Return a server and its address."""
+    server = PassingServer(app)
+    opened = listen("127.0.0.1:0")
+    await server.listen([opened])
+    return server, opened.getsockname()
+
+
+@LOOPS
+def test_a_request_that_nobody_has_read_yet_is_answered(run):
+    async def scenario():
+        server, address = await serve()
+        caller = Caller(address)
+        caller.send()
+        await server.stop()
+        return await caller.answer()
+
+    assert run(scenario()).startswith(b"HTTP/1.1 200")
+
+
+@LOOPS
+def test_a_caller_who_has_connected_may_send_its_first_request(run, monkeypatch):
+    monkeypatch.setattr(serving, "FIRST_REQUEST_S", LONG_S)
+
+    async def scenario():
+        server, address = await serve()
+        caller = Caller(address)
+        await asyncio.sleep(LATER_S)
+        stopping = asyncio.create_task(server.stop())
+        await asyncio.sleep(LATER_S)
+        caller.send()
+        await stopping
+        return await caller.answer()
+
+    answer = run(scenario())
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"connection: close" in answer
+
+
+@LOOPS
+def test_half_a_request_is_waited_for(run):
+    async def scenario():
+        server, address = await serve()
+        caller = Caller(address)
+        caller.send(REQUEST[:10])
+        await asyncio.sleep(LATER_S)
+        stopping = asyncio.create_task(server.stop())
+        await asyncio.sleep(LATER_S)
+        caller.send(REQUEST[10:])
+        await stopping
+        return await caller.answer()
+
+    assert run(scenario()).startswith(b"HTTP/1.1 200")
+
+
+@LOOPS
+def test_a_connection_without_a_request_ends_soon(run):
+    async def scenario():
+        server, address = await serve()
+        caller = Caller(address)
+        await asyncio.sleep(LATER_S)
+        async with asyncio.timeout(LONG_S):
+            await server.stop()
+        return await caller.answer(), server.connections
+
+    assert run(scenario()) == (b"", 0)
+
+
+@LOOPS
+def test_an_idle_connection_ends_at_once(run, monkeypatch):
+    monkeypatch.setattr(serving, "FIRST_REQUEST_S", LONG_S)
+
+    async def scenario():
+        server, address = await serve()
+        caller = Caller(address)
+        caller.send()
+        await asyncio.sleep(LATER_S)
+        began_s = asyncio.get_running_loop().time()
+        await server.stop()
+        took_s = asyncio.get_running_loop().time() - began_s
+        answer = await caller.answer()
+        return answer, took_s
+
+    answer, took_s = run(scenario())
+    assert answer.count(b"HTTP/1.1 200") == 1
+    assert took_s < LONG_S
+
+
+@LOOPS
+def test_no_caller_is_accepted_by_the_system_and_then_cut(run):
+    def keep_calling(address):
+        """Call until nobody listens; return what has come of each call."""
+        found = []
+        while True:
+            try:
+                with socket.create_connection(address, timeout=0.5) as opened:
+                    opened.sendall(REQUEST)
+                    found.append(opened.recv(4096)[:12])
+            except (TimeoutError, ConnectionRefusedError):
+                return found
+            except OSError as error:
+                found.append(errno.errorcode[error.errno])
+
+    async def scenario():
+        server, address = await serve()
+        server.close_after_answers()
+        calling = [asyncio.create_task(asyncio.to_thread(keep_calling, address)) for _ in range(4)]
+        await asyncio.sleep(LATER_S)
+        await server.stop()
+        return [each for found in await asyncio.gather(*calling) for each in found]
+
+    assert set(run(scenario())) == {b"HTTP/1.1 200"}
