Tell in one line that the address for other nodes is taken

Cause: that address was bound in the running program, the two others before the imports. Change: all three are bound first; the one for nodes listens only once the node is up, so that nodes that ask a starting one are refused at once and go to another, as before.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -88,7 +88,7 @@
 @asynccontextmanager
 async def listening(node, front, inner, sockets):
     """Serve callers, and the balancer's and operators' questions, for the length of the block."""
-    await node.start()
+    await node.start(sockets.peer)
     front.limits = lambda: node.routes.limits if node.routes else None
     node.count_connections = lambda: front.connections
     await inner.listen(sockets.inner)
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -137,15 +137,17 @@
         """How many requests and subqueries are being answered."""
         return self._in_progress + self._subqueries.in_progress
 
-    async def start(self):
-        """Join the fleet and begin to follow the store."""
+    async def start(self, peer_socket=None):
+        """Join the fleet and begin to follow the store.
+
+        :param peer_socket: bound to the address for other nodes; ``None`` for a node without one.
+        """
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.follower.run()))
         self._tasks.append(loop.create_task(self._lag.run()))
-        if not self.settings.peer:
+        if peer_socket is None:
             return
-        host, _, port = self.settings.peer.rpartition(":")
-        await self.peer_server.start(host, int(port))
+        await self.peer_server.start_on(peer_socket)
         membership = self.fleet.membership
         membership.join(self.fleet.spreader)
         for work in (self.fleet.spreader.run(), membership.run(), self._join()):
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/sockets.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/sockets.py
@@ -22,13 +22,16 @@
 
 
 class Sockets:
-    """Listening sockets: ``front`` for callers, ``inner`` for the balancer and for metrics.
+    """Sockets: ``front`` for callers, ``inner`` for the balancer and for metrics, ``peer``.
+
+    That for other nodes only holds its address yet: a node that is still starting refuses them, and
+    they ask another at once. It is ``None`` where the settings name no address for it.
 
     :param settings: :class:`~auburnhollow_node.relay.settings.RelaySettings`.
     :raises OSError: when an address can't be listened on.
     """
 
-    __slots__ = ("front", "inner")
+    __slots__ = ("front", "inner", "peer")
 
     def __init__(self, settings):
         self.front = [listen(settings.front)]
@@ -36,15 +39,22 @@
         if settings.metrics_port:
             host = settings.ready.rpartition(":")[0]
             self.inner.append(listen(f"{host}:{settings.metrics_port}"))
+        self.peer = bind(settings.peer) if settings.peer else None
 
 
 def listen(address):
     """Return a socket that listens on ``host:port``."""
+    opened = bind(address)
+    opened.listen(BACKLOG)
+    return opened
+
+
+def bind(address):
+    """Return a socket at ``host:port``."""
     host, _, port = address.rpartition(":")
     opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     opened.bind((host, int(port)))
-    opened.listen(BACKLOG)
     opened.setblocking(False)
     return opened
 
--- a/packages/auburnhollow/src/auburnhollow/peers/link.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/link.py
@@ -354,6 +354,10 @@
         """Listen."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
+    async def start_on(self, bound):
+        """Listen on a socket that has an address already."""
+        self._server = await asyncio.start_server(self._serve, sock=bound)
+
     async def close(self):
         """Stop listening and close all connections."""
         if self._server is not None:
