--- a/packages/auburnhollow/src/auburnhollow/peers/codec.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/codec.py
@@ -6,6 +6,8 @@
 from ..records import Record
 
 LONGEST_MESSAGE = 2 * 1024 * 1024
+# What is read from a connection at a time.
+READ_BYTES = 65_536
 NO_ANSWER = 0
 
 _TYPES = {}
