Pass a question mark that ends a target on

Seen: listed as open: a bare question mark at a target's end was lost (both libraries drop it). Cause: uvicorn's scope has path and query apart, yarl writes no empty query.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/server.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/server.py
@@ -49,6 +49,11 @@
         self._head_timer = None
         self._await_head()
 
+    def on_url(self, url):
+        """Keep the target as it came: parsed, a question mark at its end would be lost."""
+        super().on_url(url)
+        self.scope["target"] = self.url
+
     def data_received(self, data):
         """Take bytes; close the connection when a head is too long or takes too long."""
         is_head = self.cycle is None or self.cycle.response_complete
