Tell a server at its limit of connections from one that has died

Cause: a reset connection counted like a refused one: the probe after a cut request said that the server had died, and nodes went on trying servers with connections, which kept them full. Ruled out: the store and membership (all nodes were started and knew all servers after 0.7 s). A server that resets a new connection is passed over for a while like one whose calls fail, without trials.

--- a/packages/auburnhollow/src/auburnhollow/backends/client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/client.py
@@ -19,7 +19,7 @@
     BackendUnreachable,
 )
 from .messages import OrderCall, ShardCall, read_order_answer, read_shard_answer
-from .probe import takes_connections
+from .probe import Probe, probe
 
 CONNECT_TIMEOUT_MS = 1_000
 PROBE_TIMEOUT_MS = 200
@@ -114,8 +114,9 @@
             raise BackendSilent(f"{server.id}: silent for {silent_ms:.0f} ms") from error
 
     async def _lost(self, server, error):
-        """Tell a dead server from a cut connection: only a dead one takes no new connection."""
-        if await takes_connections(self._clock, server.address, PROBE_TIMEOUT_MS):
+        """Tell a dead server from a cut connection: only a dead one answers no new connection."""
+        found = await probe(self._clock, server.address, PROBE_TIMEOUT_MS)
+        if found in (Probe.TAKEN, Probe.FULL):
             return BackendCut(f"{server.id}: connection lost: {error!r}")
         return BackendDied(f"{server.id}: died under the request: {error!r}")
 
--- a/packages/auburnhollow/src/auburnhollow/backends/probe.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/probe.py
@@ -1,10 +1,22 @@
-"""Telling a dead backend server from a cut connection."""
+"""What a backend server does with a new connection."""
 
 import asyncio
+from enum import Enum
 
 
-async def takes_connections(clock, address, timeout_ms):
-    """Return whether a server takes a new connection: ``None`` when nothing answers in time.
+class Probe(Enum):
+    """What came of a connection that was tried: only one that is refused shows a dead server."""
+
+    TAKEN = "taken"
+    REFUSED = "refused"
+    FULL = "full"
+    SILENT = "silent"
+
+
+async def probe(clock, address, timeout_ms):
+    """Open a connection to a server, close it, and return a :class:`Probe`.
+
+    A server at its limit of connections resets further ones.
 
     :param address: ``host:port`` of the server.
     """
@@ -13,8 +25,10 @@
         async with clock.timeout(timeout_ms):
             _, writer = await asyncio.open_connection(host, int(port))
     except TimeoutError:
-        return None
+        return Probe.SILENT
+    except ConnectionResetError:
+        return Probe.FULL
     except OSError:
-        return False
+        return Probe.REFUSED
     writer.close()
-    return True
+    return Probe.TAKEN
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -135,6 +135,10 @@
     ran = Ran.NO
 
 
+class BackendFull(BackendUnreachable):
+    """The server has as many connections as it takes."""
+
+
 class BackendReplaced(BackendError):
     """Another server answers at the address of the one that was meant; it ran nothing."""
 
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -7,6 +7,7 @@
 from ..exceptions import (
     BackendDied,
     BackendError,
+    BackendFull,
     BackendRefused,
     BackendReplaced,
     BackendUnreachable,
@@ -120,6 +121,12 @@
     outcomes.unreachable(call)
 
 
+@note.register
+def _(_error: BackendFull, call, outcomes, now_ms):
+    # Trial connections of many nodes would keep it full.
+    outcomes.note_failure(call, now_ms, is_certain=True)
+
+
 @note.register
 def _(_error: BackendDied, call, outcomes, now_ms):
     outcomes.died(call)
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -7,6 +7,7 @@
 
 from auburnhollow.exceptions import (
     BackendDied,
+    BackendFull,
     BackendRejected,
     BackendReplaced,
     BackendUnreachable,
@@ -477,3 +478,24 @@
     bed, merged = run_virtually(play())
     assert merged.missing == 0
     assert len(bed.servers.calls) == len(SHARDS)
+
+
+def test_a_server_that_takes_no_more_connections_is_passed_over_and_not_tried():
+    """The load: many nodes start at once, and one server has as many connections as it takes."""
+
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        bed.servers.behaviour["search-0"] = BackendFull("full")
+        statuses = []
+        for number in range(80):
+            request = a_request(bed.clock, f"r-{number}")
+            answer = await bed.dispatcher.pass_on(request, a_route(), "search")
+            statuses.append(answer.status)
+            await bed.clock.sleep(30.0)
+        return bed.servers, statuses
+
+    servers, statuses = run_virtually(play())
+    assert set(statuses) == {200}
+    assert servers.trials == []
+    assert servers.asked().count("search-0") <= 5
