Let a joining node learn of the fleet from its own data centre, once

Cause, from counts of bytes by message: all nodes join through the first address that the settings name; it answers each with the versions of all facts and then all facts, and each joining node pushes all that it has learned to four peers as news. Change: the named node names two nodes of the joining one's data centre, which give it everything; a node that has just started asks for all facts instead of comparing them; what it learns so is no news.

--- a/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
@@ -3,7 +3,7 @@
 from auburnhollow.gossip import Push, Spreader, SyncAsk, Table
 from auburnhollow.gossip.messages import Fetch
 from auburnhollow.membership import Membership
-from auburnhollow.membership.messages import Ping, PingRequest
+from auburnhollow.membership.messages import NearAsk, Ping, PingRequest
 
 URGENT_KINDS = ("configuration", "server", "death", "survived")
 
@@ -36,6 +36,7 @@
         """Let ``peer_server`` answer the messages of the fleet."""
         peer_server.on(Ping, self.membership.on_ping)
         peer_server.on(PingRequest, self.membership.on_ping_request)
+        peer_server.on(NearAsk, self.membership.on_near_ask)
         peer_server.on(Push, self.spreader.on_push)
         peer_server.on(SyncAsk, self.spreader.on_sync_ask)
         peer_server.on(Fetch, self.spreader.on_fetch)
--- a/packages/auburnhollow/src/auburnhollow/gossip/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/gossip/messages.py
@@ -26,6 +26,6 @@
 
 @register("fetch")
 class Fetch(Message):
-    """Asks for whole facts by ``[kind, key]``."""
+    """Asks for whole facts by ``[kind, key]``, or for all when ``places`` is ``None``."""
 
     __slots__ = ("sender", "places")
--- a/packages/auburnhollow/src/auburnhollow/gossip/spreader.py
+++ b/packages/auburnhollow/src/auburnhollow/gossip/spreader.py
@@ -17,6 +17,8 @@
 PAUSE_MS = 500.0
 SYNC_TIMEOUT_MS = 1_000.0
 MOST_FACTS_IN_PUSH = 500
+# A node that has just started knows of itself, and hardly anything else.
+FRESH_FACTS = 4
 
 
 class Spreader:
@@ -104,15 +106,30 @@
         :raises PeerError: when the peer does not answer.
         """
         self._metrics.incr("gossip.syncs")
+        if len(self._table) <= FRESH_FACTS:
+            await self._sync_fresh(address)
+            return
         ask = SyncAsk(sender=self._address, buckets=self._table.buckets)
         answer = await self._peers.ask(address, ask, SYNC_TIMEOUT_MS)
         wanted, offered = self._compare(answer)
         if offered:
             self._send(address, offered)
         if wanted:
-            fetch = Fetch(sender=self._address, places=wanted)
-            got = await self._peers.ask(address, fetch, SYNC_TIMEOUT_MS)
-            self.take(got.facts, address)
+            self.take(await self._fetch(address, wanted), address)
+
+    async def _sync_fresh(self, address):
+        """Exchange all facts: comparing would name each of them three times.
+
+        What a node learns as it starts is news to itself only.
+        """
+        self._send(address, self._table.facts())
+        for values in await self._fetch(address, None):
+            self._table.put(Fact.from_list(values), address)
+
+    async def _fetch(self, address, places):
+        fetch = Fetch(sender=self._address, places=places)
+        answer = await self._peers.ask(address, fetch, SYNC_TIMEOUT_MS)
+        return answer.facts
 
     async def on_push(self, message):
         """Take a :class:`Push`."""
@@ -135,6 +152,9 @@
     async def on_fetch(self, message):
         """Answer a :class:`Fetch`."""
         facts = []
+        if message.places is None:
+            facts = [fact.to_list() for fact in self._table.facts()]
+            return Push(sender=self._address, facts=facts)
         for kind, key in message.places:
             fact = self._table.get(kind, key)
             if fact is not None:
--- a/packages/auburnhollow/src/auburnhollow/gossip/table.py
+++ b/packages/auburnhollow/src/auburnhollow/gossip/table.py
@@ -63,6 +63,10 @@
             found += [fact for fact in facts.values() if fact.kind == kind]
         return found
 
+    def facts(self):
+        """Return all facts."""
+        return [fact for facts in self._facts for fact in facts.values()]
+
     def in_bucket(self, number):
         """Return the facts of one bucket."""
         return list(self._facts[number].values())
--- a/packages/auburnhollow/src/auburnhollow/membership/detector.py
+++ b/packages/auburnhollow/src/auburnhollow/membership/detector.py
@@ -4,9 +4,9 @@
 import logging
 import math
 
-from ..exceptions import PeerError
+from ..exceptions import PeerError, PeerRefused
 from .members import ALIVE, DEAD, KIND, LEFT, SUSPECT, Member, fact_of, member_of
-from .messages import Ack, Ping, PingRequest
+from .messages import Ack, Near, NearAsk, Ping, PingRequest
 
 log = logging.getLogger("membership")
 
@@ -18,6 +18,9 @@
 PAUSED_FACTOR = 2.0
 REVIVE_EVERY_MS = 10_000.0
 MOST_HEALTH = 8
+NEAR_TIMEOUT_MS = 400.0
+# One may have gone; after two, the node that named them is sure to be there.
+NEAR_PEERS = 2
 EXPIRE_EVERY_MS = 30_000.0
 
 
@@ -138,12 +141,35 @@
         self.announce(state=LEFT, ready=False)
 
     async def contact(self, address):
-        """Exchange facts with a node that is not known yet.
+        """Meet the fleet through one node of it.
+
+        All that is known of the fleet comes from a node of this data centre, if it names one: links
+        between data centres are costly, and all nodes may start with the same few addresses.
 
         :raises PeerError: when it does not answer.
         """
+        for near in await self._near_of(address):
+            try:
+                await self._spreader.sync(near)
+            except PeerError as error:
+                log.debug("membership: no exchange with %s: %s", near, error)
+                continue
+            return
         await self._spreader.sync(address)
 
+    async def _near_of(self, address):
+        """Return the addresses that a node names in this data centre."""
+        ask = NearAsk(
+            sender=self._me.address,
+            data_centre=self._me.data_centre,
+            facts=[fact_of(self._me, self._clock.wall_ms()).to_list()],
+        )
+        try:
+            return (await self._peers.ask(address, ask, NEAR_TIMEOUT_MS)).addresses
+        except PeerRefused:
+            # It is of a release that does not know the question.
+            return ()
+
     async def run(self):
         """Watch the other nodes until cancelled."""
         while True:
@@ -164,6 +190,18 @@
         """Ping another node for a peer; an error says that it did not answer."""
         return await self._ping(message.address, PING_TIMEOUT_MS)
 
+    async def on_near_ask(self, message):
+        """Answer a :class:`NearAsk`."""
+        self._recount()
+        near = [
+            self._members[node].address
+            for node in self._answering
+            if self._members[node].data_centre == message.data_centre
+            and self._members[node].address != message.sender
+        ]
+        self._spreader.take(message.facts, message.sender)
+        return Near(addresses=self._random.sample(near, min(NEAR_PEERS, len(near))))
+
     async def _probe_next(self):
         member = self._next()
         if member is None:
--- a/packages/auburnhollow/src/auburnhollow/membership/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/membership/messages.py
@@ -22,3 +22,17 @@
     """Asks a node to ping another one."""
 
     __slots__ = ("address",)
+
+
+@register("near-ask")
+class NearAsk(Message):
+    """Asks for nodes of a data centre; ``facts`` make the sender known."""
+
+    __slots__ = ("sender", "data_centre", "facts")
+
+
+@register("near")
+class Near(Message):
+    """Addresses of some live nodes of the data centre that was asked for."""
+
+    __slots__ = ("addresses",)
