Keep connections only to servers that a node calls all the time

Cause: nodes that start know no others and call all shards themselves, and kept each connection for 4 s, though each calls a server every 7 s or so. Full servers failed the calls of the few nodes that ask for the others, whose askers then called directly again, with connections that filled the servers. Change: a connection is kept only when the last call to the server was less than 4 s ago; the others tell the server that they close.

--- a/packages/auburnhollow/src/auburnhollow/relay/client.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/client.py
@@ -6,11 +6,12 @@
 
     __slots__ = ()
 
-    async def send(self, server, request, remaining_ms):
+    async def send(self, server, request, remaining_ms, keeps=True):
         """Send ``request`` to ``server`` and return its whole :class:`Answer`.
 
         :param server: :class:`~auburnhollow.servers.Server`; no other may run the request.
         :param remaining_ms: how long the caller still waits, in milliseconds.
+        :param keeps: whether the connection is kept for the next call.
         :raises BackendError: with ``ran`` true to what the server may have done.
         """
         raise NotImplementedError
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -208,7 +208,7 @@
         leg.hedge_ms = late_ms
         leg.calls.append(call)
         leg.made.append(call)
-        view.began(call, now_ms)
+        call.is_regular = view.began(call, now_ms)
         call.task = asyncio.get_running_loop().create_task(self._call(call))
         return True
 
@@ -220,7 +220,9 @@
             if self._announce is not None:
                 await self._announce(leg)
             remaining_ms = self._request.limit_ms - self._clock.now_ms()
-            answer = await self._dispatcher.client.send(call.server, self._request, remaining_ms)
+            answer = await self._dispatcher.client.send(
+                call.server, self._request, remaining_ms, keeps=call.is_regular
+            )
         except BackendError as error:
             self._take_failure(call, error)
         except asyncio.CancelledError:
--- a/packages/auburnhollow/src/auburnhollow/relay/legs.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/legs.py
@@ -4,10 +4,21 @@
 class Call:
     """One send to one backend server.
 
-    ``late_ms`` is the time at which it counts as late, ``outcome`` what came of it so far.
+    ``late_ms`` is the time at which it counts as late, ``outcome`` what came of it so far,
+    ``is_regular`` whether this node calls the server all the time.
     """
 
-    __slots__ = ("began_ms", "ended_ms", "late_ms", "leg", "outcome", "server", "speed", "task")
+    __slots__ = (
+        "began_ms",
+        "ended_ms",
+        "is_regular",
+        "late_ms",
+        "leg",
+        "outcome",
+        "server",
+        "speed",
+        "task",
+    )
 
     def __init__(self, leg, server, speed, began_ms, late_ms):
         self.leg = leg
@@ -16,6 +27,7 @@
         self.began_ms = began_ms
         self.late_ms = late_ms
         self.ended_ms = None
+        self.is_regular = False
         self.outcome = "no answer yet"
         self.task = None
 
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -444,8 +444,8 @@
         self._servers = servers
         self._arrived = asyncio.Event()
 
-    async def send(self, server, request, remaining_ms):
-        answer = await self._servers.send(server, request, remaining_ms)
+    async def send(self, server, request, remaining_ms, keeps=True):
+        answer = await self._servers.send(server, request, remaining_ms, keeps)
         await self._arrived.wait()
         # Reading takes some turns of the loop: head, body, the end of the task.
         for _ in range(6):
@@ -499,3 +499,16 @@
     assert set(statuses) == {200}
     assert servers.trials == []
     assert servers.asked().count("search-0") <= 5
+
+
+@pytest.mark.parametrize(("pause_ms", "is_kept"), [(1_000.0, True), (5_000.0, False)])
+def test_only_connections_to_servers_that_are_called_all_the_time_are_kept(pause_ms, is_kept):
+    async def play():
+        bed = RelayBed({"search": CENTRES[:1]})
+        for number in range(4):
+            request = a_request(bed.clock, f"r-{number}")
+            await bed.dispatcher.pass_on(request, a_route(), "search")
+            await bed.clock.sleep(pause_ms)
+        return [keeps for _, keeps in bed.servers.kept]
+
+    assert run_virtually(play()) == [False, is_kept, is_kept, is_kept]
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
@@ -138,9 +138,9 @@
         limits = []
         send = fleet.other.servers.send
 
-        async def note(server, request, remaining_ms):
+        async def note(server, request, remaining_ms, keeps=True):
             limits.append((request.id, request.target, remaining_ms))
-            return await send(server, request, remaining_ms)
+            return await send(server, request, remaining_ms, keeps)
 
         fleet.other.dispatcher.client = type("Client", (), {"send": staticmethod(note)})()
         await fleet.gather()
--- a/packages/auburnhollow/src/auburnhollow/relay/views.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -10,6 +10,9 @@
 # A slow server is tried again after several seconds: slowness lasts seconds.
 FORGET_MS = 5_000.0
 LOAD_FRESH_MS = 250.0
+# Servers close idle connections after some seconds. One that is not used within this time is of no
+# use to this node, and takes a place from other nodes while it is open.
+REGULAR_MS = 4_000.0
 COLD_FACTOR = 1.6
 FAILURES_TO_EJECT = 2
 # Some ten calls tell the share of failures; less would take chance for a fault.
@@ -25,6 +28,7 @@
     """
 
     __slots__ = (
+        "_began_ms",
         "_cold_until_ms",
         "_ejected_until_ms",
         "_ejections",
@@ -41,6 +45,7 @@
     )
 
     def __init__(self, server, now_ms):
+        self._began_ms = None
         self._cold_until_ms = now_ms + server.warm_up_ms
         self._ejected_until_ms = 0.0
         self._ejections = 0
@@ -101,8 +106,10 @@
         return self._is_down or now_ms < self._ejected_until_ms
 
     def began(self, call, now_ms):
-        """Note a call that begins."""
+        """Note a call that begins; returns whether this node calls the server all the time."""
+        before_ms, self._began_ms = self._began_ms, now_ms
         self.calls[call] = now_ms
+        return before_ms is not None and now_ms - before_ms < REGULAR_MS
 
     def late(self, began_ms):
         """Note that a call in progress takes longer than nearly all do.
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -85,10 +85,11 @@
     """Servers that answer after ``work_ms``, or as ``behaviour`` says for their id.
 
     A behaviour is a number of milliseconds, a status, or an exception to raise after the work;
-    ``calls`` lists ``(time, server id, request id)``, ``ended`` the ids whose call was cancelled.
+    ``calls`` lists ``(time, server id, request id)``, ``kept`` whether connections were kept,
+    ``ended`` the ids whose call was cancelled.
     """
 
-    __slots__ = ("_clock", "behaviour", "calls", "ended", "trials", "work_ms")
+    __slots__ = ("_clock", "behaviour", "calls", "ended", "kept", "trials", "work_ms")
 
     def __init__(self, clock, work_ms=20.0):
         self._clock = clock
@@ -96,10 +97,12 @@
         self.behaviour = {}
         self.calls = []
         self.ended = []
+        self.kept = []
         self.trials = []
 
-    async def send(self, server, request, remaining_ms):
+    async def send(self, server, request, remaining_ms, keeps=True):
         """Answer as the server's behaviour says."""
+        self.kept.append((server.id, keeps))
         self.calls.append((self._clock.now_ms(), server.id, request.id))
         behaviour = self.behaviour.get(server.id, self.work_ms)
         delay_ms = behaviour if isinstance(behaviour, float) else self.work_ms
