Know of each call whether its request was written, and count requests by route

Cause: connecting ended 4 ms before the limit; in a busy process both timers fire in one turn. Change: the client tells before it writes the first byte; at the limit only what may have been written counts as run. That does not depend on time any more.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -18,7 +18,7 @@
 from auburnhollow.peers import PeerLink, PeerServer
 from auburnhollow.quarantine import Quarantine
 from auburnhollow.quarantine.spread import DeathSpread
-from auburnhollow.relay import Dispatcher, DispatchSettings
+from auburnhollow.relay import Dispatcher, DispatchSettings, Merged
 from auburnhollow.relay.aggregation import SubqueryServer
 from auburnhollow.relay.aggregators import Aggregators
 from auburnhollow.relay.choice import Choice
@@ -38,6 +38,7 @@
 FIRST_READ_MS = 400.0
 # Alone in the fleet, a node looks for the others again: they may all have been replaced.
 LOOK_EVERY_MS = 5_000.0
+FAILURE_STATUS = 500
 
 
 class RelayNode:
@@ -191,6 +192,7 @@
             raise
         except asyncio.CancelledError:
             self.metrics.incr("front.abandoned")
+            self._count(route, "abandoned")
             decide(log, "caller left", request.id, route=getattr(route, "name", None))
             raise
         finally:
@@ -227,6 +229,8 @@
         age_ms = self.clock.now_ms() - request.received_ms
         self.metrics.incr("front.answered")
         self.metrics.timing("front.search_ms" if route.shards else "front.single_ms", age_ms)
+        self.metrics.timing_of("front.answer_ms", age_ms, urgency=route.urgency)
+        self._count(route, outcome_of(answer))
         decide(
             log,
             "request answered",
@@ -318,8 +322,15 @@
         service = self.routes.branch(route, self._random)
         return await self.dispatcher.pass_on(request, route, service)
 
+    def _count(self, route, outcome):
+        """Count a request by its route, its urgency and what came of it."""
+        name = "" if route is None else route.name
+        urgency = "" if route is None else route.urgency
+        self.metrics.incr_of("front.requests", route=name, urgency=urgency, outcome=outcome)
+
     def _log_error(self, request, route, error):
         self.metrics.incr(f"front.{error.code}")
+        self._count(route, error.code)
         decide(
             log,
             "request failed",
@@ -336,5 +347,12 @@
         )
 
 
+def outcome_of(answer):
+    """Return what came of an answered request, as metrics name it."""
+    if isinstance(answer, Merged):
+        return "partial" if answer.missing else "whole"
+    return "server-failure" if answer.status >= FAILURE_STATUS else "whole"
+
+
 def _finite(duration_ms):
     return None if math.isinf(duration_ms) else round(duration_ms)
--- a/packages/auburnhollow/src/auburnhollow/exposition.py
+++ b/packages/auburnhollow/src/auburnhollow/exposition.py
@@ -22,18 +22,37 @@
 
         for name, count in sorted(self._metrics.counts.items()):
             yield CounterMetricFamily(_full(name), f"Count of {name}.", value=count)
+        for name, counts in sorted(self._metrics.series.items()):
+            labels = [label for label, _ in next(iter(counts))]
+            family = CounterMetricFamily(_full(name), f"Count of {name}.", labels=labels)
+            for key, count in counts.items():
+                family.add_metric([str(value) for _, value in key], count)
+            yield family
         for name, value in sorted(self._gauges.items()):
             if value is not None:
                 yield GaugeMetricFamily(_full(name), f"Present value of {name}.", value=value)
         for name, histogram in sorted(self._metrics.histograms.items()):
-            buckets = []
-            total = 0
-            for bound, count in zip((*BUCKETS_MS, "+Inf"), histogram.counts, strict=True):
-                total += count
-                buckets.append((str(bound), total))
             yield HistogramMetricFamily(
-                _full(name), f"Durations of {name}, in ms.", buckets, histogram.sum_ms
+                _full(name), f"Durations of {name}, in ms.", _buckets(histogram), histogram.sum_ms
             )
+        for name, found in sorted(self._metrics.series_ms.items()):
+            labels = [label for label, _ in next(iter(found))]
+            text = f"Durations of {name}, in ms."
+            family = HistogramMetricFamily(_full(name), text, labels=labels)
+            for key, histogram in found.items():
+                values = [str(value) for _, value in key]
+                family.add_metric(values, _buckets(histogram), histogram.sum_ms)
+            yield family
+
+
+def _buckets(histogram):
+    """Return pairs of an upper bound and how many durations were not longer."""
+    found = []
+    total = 0
+    for bound, count in zip((*BUCKETS_MS, "+Inf"), histogram.counts, strict=True):
+        total += count
+        found.append((str(bound), total))
+    return found
 
 
 def exposition(metrics, gauges):
--- a/packages/auburnhollow/src/auburnhollow/metrics.py
+++ b/packages/auburnhollow/src/auburnhollow/metrics.py
@@ -29,6 +29,11 @@
 )
 
 
+# 350 routes with some outcomes each; a collector reads them all every few seconds.
+MOST_SERIES = 2_000
+OTHER = "other"
+
+
 class Histogram:
     """Counts durations by :data:`BUCKETS_MS`; the last of ``counts`` is for longer ones."""
 
@@ -55,12 +60,14 @@
     >>> metrics.incr("scatter.hedges")
     """
 
-    __slots__ = ("_client", "_counts", "_histograms")
+    __slots__ = ("_client", "_counts", "_histograms", "_series", "_series_ms")
 
     def __init__(self, address=None):
         self._client = None
         self._counts = {}
         self._histograms = {}
+        self._series = {}
+        self._series_ms = {}
         if address is not None:
             host, _, port = address.rpartition(":")
             self._client = statsd.StatsClient(host, int(port), prefix=PREFIX)
@@ -70,6 +77,16 @@
         """All counts since the start, by name."""
         return dict(self._counts)
 
+    @property
+    def series(self):
+        """Counts by name, and for each by a tuple of ``(label, value)``."""
+        return {name: dict(counts) for name, counts in self._series.items()}
+
+    @property
+    def series_ms(self):
+        """:class:`Histogram` by name, and for each by a tuple of ``(label, value)``."""
+        return {name: dict(found) for name, found in self._series_ms.items()}
+
     @property
     def histograms(self):
         """All :class:`Histogram` since the start, by name."""
@@ -81,6 +98,20 @@
         if self._client is not None:
             self._client.incr(name, count)
 
+    def incr_of(self, name, **labels):
+        """Add one to the count of ``name`` with these labels; kept here only.
+
+        Labels beyond :data:`MOST_SERIES` combinations are counted together as ``other``.
+        """
+        counts = self._series.setdefault(name, {})
+        key = _key_in(counts, labels)
+        counts[key] = counts.get(key, 0) + 1
+
+    def timing_of(self, name, duration_ms, **labels):
+        """Count a duration of ``name`` with these labels, as :meth:`incr_of` does."""
+        found = self._series_ms.setdefault(name, {})
+        found.setdefault(_key_in(found, labels), Histogram()).observe(duration_ms)
+
     def gauge(self, name, value):
         """Set a gauge."""
         if self._client is not None:
@@ -96,6 +127,13 @@
             self._client.timing(name, duration_ms)
 
 
+def _key_in(series, labels):
+    key = tuple(labels.items())
+    if key in series or len(series) < MOST_SERIES:
+        return key
+    return tuple((label, OTHER) for label in labels)
+
+
 @contextmanager
 def timed(metrics, clock, name):
     """Send how long the block took."""
--- a/packages/auburnhollow/src/auburnhollow/relay/failures.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/failures.py
@@ -18,7 +18,7 @@
 
 def out_of_time(legs, dispatcher):
     """Return the error of a request whose caller stops waiting."""
-    if all(leg.run == 0 for leg in legs):
+    if not any(leg.may_have_run for leg in legs):
         return dispatcher.unavailable("no server took the request in time")
     missing = [leg.service for leg in legs if leg.answer is None]
     text = ", ".join(missing[:NAMED_SERVICES])
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -221,7 +221,11 @@
                 await self._announce(leg)
             remaining_ms = self._request.limit_ms - self._clock.now_ms()
             answer = await self._dispatcher.client.send(
-                call.server, self._request, remaining_ms, keeps=call.is_regular
+                call.server,
+                self._request,
+                remaining_ms,
+                keeps=call.is_regular,
+                on_write=call.mark_written,
             )
         except BackendError as error:
             self._take_failure(call, error)
--- a/packages/auburnhollow/src/auburnhollow/relay/legs.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/legs.py
@@ -5,13 +5,15 @@
     """One send to one backend server.
 
     ``late_ms`` is the time at which it counts as late, ``outcome`` what came of it so far,
-    ``is_regular`` whether this node calls the server all the time.
+    ``is_regular`` whether this node calls the server all the time, ``is_written`` whether the
+    request may have reached it.
     """
 
     __slots__ = (
         "began_ms",
         "ended_ms",
         "is_regular",
+        "is_written",
         "late_ms",
         "leg",
         "outcome",
@@ -28,6 +30,7 @@
         self.late_ms = late_ms
         self.ended_ms = None
         self.is_regular = False
+        self.is_written = False
         self.outcome = "no answer yet"
         self.task = None
 
@@ -39,6 +42,10 @@
             text += f" at {round(self.ended_ms - received_ms)}"
         return text
 
+    def mark_written(self):
+        """Note that the request is about to be written."""
+        self.is_written = True
+
     def end(self, outcome, now_ms):
         """Note what came of the call."""
         self.outcome = outcome
@@ -80,6 +87,11 @@
         self.subquery = None
         self.tried = []
 
+    @property
+    def may_have_run(self):
+        """Whether a server may have run the request."""
+        return self.run > sum(not call.is_written for call in self.calls)
+
     @property
     def is_over(self):
         """Whether nothing more will come of it."""
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -444,8 +444,8 @@
         self._servers = servers
         self._arrived = asyncio.Event()
 
-    async def send(self, server, request, remaining_ms, keeps=True):
-        answer = await self._servers.send(server, request, remaining_ms, keeps)
+    async def send(self, server, request, remaining_ms, **options):
+        answer = await self._servers.send(server, request, remaining_ms, **options)
         await self._arrived.wait()
         # Reading takes some turns of the loop: head, body, the end of the task.
         for _ in range(6):
@@ -512,3 +512,30 @@
         return [keeps for _, keeps in bed.servers.kept]
 
     assert run_virtually(play()) == [False, is_kept, is_kept, is_kept]
+
+
+@pytest.mark.parametrize(
+    ("unconnected", "error"),
+    [
+        (["search-0", "search-1", "search-2"], Unavailable),
+        (["search-0", "search-1"], DeadlinePassed),
+        ([], DeadlinePassed),
+    ],
+)
+def test_what_was_not_written_by_the_limit_has_not_run(unconnected, error):
+    """The load: servers that answer nothing, and those to which no connection comes about."""
+
+    async def play():
+        bed = RelayBed({"search": CENTRES})
+        bed.allow_repeats("search")
+        bed.servers.unconnected.update(unconnected)
+        for number in range(len(CENTRES)):
+            bed.servers.behaviour[f"search-{number}"] = 5_000.0
+        request = a_request(bed.clock, remaining_ms=300.0)
+        with pytest.raises(error) as caught:
+            await bed.dispatcher.pass_on(request, a_route(attempts=3), "search")
+        return caught.value.ran, sorted(set(bed.servers.asked()))
+
+    ran, asked = run_virtually(play())
+    assert asked == ["search-0", "search-1", "search-2"]
+    assert ran is (Ran.NO if error is Unavailable else Ran.UNKNOWN)
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
@@ -138,9 +138,9 @@
         limits = []
         send = fleet.other.servers.send
 
-        async def note(server, request, remaining_ms, keeps=True):
+        async def note(server, request, remaining_ms, **options):
             limits.append((request.id, request.target, remaining_ms))
-            return await send(server, request, remaining_ms, keeps)
+            return await send(server, request, remaining_ms, **options)
 
         fleet.other.dispatcher.client = type("Client", (), {"send": staticmethod(note)})()
         await fleet.gather()
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -86,10 +86,19 @@
 
     A behaviour is a number of milliseconds, a status, or an exception to raise after the work;
     ``calls`` lists ``(time, server id, request id)``, ``kept`` whether connections were kept,
-    ``ended`` the ids whose call was cancelled.
+    ``ended`` the ids whose call was cancelled. Nothing is written to those in ``unconnected``.
     """
 
-    __slots__ = ("_clock", "behaviour", "calls", "ended", "kept", "trials", "work_ms")
+    __slots__ = (
+        "_clock",
+        "behaviour",
+        "calls",
+        "ended",
+        "kept",
+        "trials",
+        "unconnected",
+        "work_ms",
+    )
 
     def __init__(self, clock, work_ms=20.0):
         self._clock = clock
@@ -98,11 +107,14 @@
         self.calls = []
         self.ended = []
         self.kept = []
+        self.unconnected = set()
         self.trials = []
 
-    async def send(self, server, request, remaining_ms, keeps=True):
+    async def send(self, server, request, remaining_ms, keeps=True, on_write=None):
         """Answer as the server's behaviour says."""
         self.kept.append((server.id, keeps))
+        if on_write is not None and server.id not in self.unconnected:
+            on_write()
         self.calls.append((self._clock.now_ms(), server.id, request.id))
         behaviour = self.behaviour.get(server.id, self.work_ms)
         delay_ms = behaviour if isinstance(behaviour, float) else self.work_ms
