Allow repeats by the requests of no more than one window

Cause, by a test with a manual clock: repeats were allowed by the requests of up to 10.5 s, since the oldest step counts whole until it has left. Ruled out: counting requests that reach no server (tried and reverted: the rule counts what clients send, and that shard had servers all the time). Change: the requests of the step that is leaving no longer allow repeats; its repeats still count.

--- a/packages/auburnhollow/src/auburnhollow/retry/tests/test_window.py
+++ b/packages/auburnhollow/src/auburnhollow/retry/tests/test_window.py
@@ -177,3 +177,25 @@
 
 def _between(times, start_ms, end_ms):
     return sum(1 for time_ms in times if start_ms < time_ms <= end_ms)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_requests_of_a_window_are_those_of_its_length(seed):
+    """The load: a burst of requests, and repeats as many as are allowed all the time."""
+    rng = random.Random(seed)
+    clock = ManualClock()
+    budget = WindowBudget(clock, ratio=0.2, window_ms=10_000)
+    requests, repeats = [], []
+    while clock.now_ms() < 60_000:
+        is_burst = clock.now_ms() % 12_000 < 1_500
+        clock.advance(rng.uniform(0.0, 20.0 if is_burst else 200.0))
+        budget.count_request()
+        requests.append(clock.now_ms())
+        clock.advance(rng.uniform(0.0, 10.0))
+        if budget.try_spend():
+            repeats.append(clock.now_ms())
+    assert len(repeats) > 50
+    for at_ms in repeats:
+        since_ms = at_ms - 10_000
+        asked = sum(since_ms < each <= at_ms for each in requests)
+        assert sum(since_ms < each <= at_ms for each in repeats) <= 0.2 * asked
--- a/packages/auburnhollow/src/auburnhollow/retry/window.py
+++ b/packages/auburnhollow/src/auburnhollow/retry/window.py
@@ -145,7 +145,15 @@
 
     def _allowed(self):
         slack = 0.0 if self._slack is None else self._slack.share()
-        return self._requests * self._ratio + slack
+        return (self._requests - self._leaving()) * self._ratio + slack
+
+    def _leaving(self):
+        """Return the requests of the step that the window has begun to leave.
+
+        Its repeats still count: no window may see repeats by requests that it does not hold.
+        """
+        number, requests, _ = self._steps[0]
+        return requests if number == self._steps[-1][0] - STEPS else 0
 
     def _turn(self):
         """Drop what has left the window and return the present step."""
