--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/sockets.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/sockets.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import sys
+from contextlib import suppress
 
 BACKLOG = 1024
 # From the Linux headers: the option, and a program of four steps for arriving packets.
@@ -63,7 +64,8 @@
     """Let no further connection begin on a listening socket; those that have begun go on.
 
     Once the socket is closed, callers that tried meanwhile find nobody there. Closing it alone
-    would cut those that the system has accepted and the program has not.
+    would cut those that the system has accepted and the program has not. A system without such
+    filters goes on taking them.
     """
     if sys.platform != "linux":
         return
@@ -73,4 +75,5 @@
     steps = ctypes.create_string_buffer(WITHOUT_FIRST_PACKETS)
     count = len(WITHOUT_FIRST_PACKETS) // struct.calcsize("HBBI")
     program = struct.pack("HP", count, ctypes.addressof(steps))
-    listening.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+    with suppress(OSError):
+        listening.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
--- a/packages/auburnhollow-node/tests/test_last_connections.py
+++ b/packages/auburnhollow-node/tests/test_last_connections.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from auburnhollow_node.relay import server as serving
+from auburnhollow_node.relay import sockets
 from auburnhollow_node.relay.server import PassingServer
 from auburnhollow_node.relay.sockets import listen
 
@@ -159,3 +160,18 @@
         return [each for found in await asyncio.gather(*calling) for each in found]
 
     assert set(run(scenario())) == {b"HTTP/1.1 200"}
+
+
+def test_a_system_without_filters_stops_too(monkeypatch):
+    monkeypatch.setattr(sockets, "SO_ATTACH_FILTER", -1)
+
+    async def scenario():
+        server, address = await serve()
+        caller = Caller(address)
+        caller.send()
+        await server.stop()
+        return await caller.answer(), server.connections
+
+    answer, connections = asyncio.run(scenario())
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert connections == 0
