Tell other nodes no servers that they have heard of, and pack what is told

In an outage each asked three others every second or so, and each sent all servers, though the asker drops what is not newer; a change of routes went to each follower as plain lists. Change: the question says up to which revision its sender has heard; servers go only where that is older. Routes and servers travel compressed; the routes are packed once for all, the servers at most twice a second, with the revision that they hold.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -119,7 +119,9 @@
         )
         changes = ChangeServer(self.follower, shared, self.clock)
         self.peer_server.on(ChangesAsk, changes.answer)
-        neighbours = Neighbours(self.follower, self.peers, self._other_nodes, self._random)
+        neighbours = Neighbours(
+            self.follower, self.peers, self._other_nodes, self._random, self.clock
+        )
         self.follower.ask_others = neighbours.ask
         self.peer_server.on(KnownAsk, neighbours.answer)
 
--- a/packages/auburnhollow/src/auburnhollow/follow/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/messages.py
@@ -1,9 +1,9 @@
 """What nodes tell each other of the store when one of them can't reach it."""
 
-from functools import singledispatch
+from functools import lru_cache, singledispatch
 
 from ..exceptions import ProtocolError
-from ..peers.codec import Message, register
+from ..peers.codec import Message, register, squeeze, unsqueeze
 from ..routes import Branch, FrontLimits, Route, RouteTable, Service
 from ..servers import Server, ServerState
 from .feed import ConfigurationSeen, ServerGone, ServerSeen, UnreadableEntry
@@ -11,9 +11,13 @@
 
 @register("known-ask")
 class KnownAsk(Message):
-    """Asks what a node knows; ``version`` is the configuration that the asker has, 0 for none."""
+    """Asks what a node knows.
 
-    __slots__ = ("version",)
+    ``version`` is the configuration that the asker has, 0 for none; ``revision`` the store's up to
+    which it has heard of servers, ``None`` for none.
+    """
+
+    __slots__ = ("version", "revision")
 
 
 @register("changes-ask")
@@ -35,15 +39,19 @@
     """What a node knows.
 
     ``revision`` is the store's up to which it holds, ``age_ms`` the time since the store confirmed
-    it, ``table`` the configuration as plain lists or ``None`` when the asker has it, ``servers``
-    the servers as plain lists.
+    it, ``table`` the packed configuration, ``servers`` the packed servers. Both are ``None`` when
+    the asker has them, or a newer state.
     """
 
     __slots__ = ("revision", "age_ms", "table", "servers")
 
 
+@lru_cache(maxsize=2)
 def pack_table(table):
-    """Return a :class:`~auburnhollow.routes.RouteTable` as plain lists."""
+    """Return a :class:`~auburnhollow.routes.RouteTable` as bytes.
+
+    The last ones are kept: each change goes to many nodes.
+    """
     routes = []
     for route in table.routes:
         values = route.to_map()
@@ -51,15 +59,21 @@
         values["shards"] = list(route.shards)
         routes.append(list(values.values()))
     services = [service.to_list() for service in table.services.values()]
-    return [table.version, routes, services, table.limits.to_list()]
+    return squeeze([table.version, routes, services, table.limits.to_list()])
 
 
-def unpack_table(values):
-    """Return the :class:`~auburnhollow.routes.RouteTable` in plain lists.
+def unpack_table(data):
+    """Return the packed :class:`~auburnhollow.routes.RouteTable`.
 
-    :raises ValueError: when it is none.
+    :raises ProtocolError: when it is none.
     """
-    version, route_lists, service_lists, limits = values
+    try:
+        return _table_of(*unsqueeze(data))
+    except (TypeError, ValueError) as error:
+        raise ProtocolError(f"not a configuration: {error!r}") from error
+
+
+def _table_of(version, route_lists, service_lists, limits):
     routes = []
     for each in route_lists:
         route = Route.from_list(each)
@@ -71,26 +85,31 @@
 
 
 def pack_servers(servers):
-    """Return servers as plain lists."""
-    packed = []
-    for server in servers:
-        values = server.to_map()
-        values["state"] = server.state.value
-        packed.append(list(values.values()))
-    return packed
+    """Return servers as bytes."""
+    return squeeze([_plain(server) for server in servers])
 
 
-def unpack_servers(lists):
-    """Return the servers in plain lists.
+def unpack_servers(data):
+    """Return the packed servers.
 
-    :raises ValueError: when they are none.
+    :raises ProtocolError: when they are none.
     """
-    servers = []
-    for each in lists:
-        server = Server.from_list(each)
-        server.state = ServerState(server.state)
-        servers.append(server)
-    return servers
+    try:
+        return [_server_of(values) for values in unsqueeze(data)]
+    except (TypeError, ValueError) as error:
+        raise ProtocolError(f"not servers: {error!r}") from error
+
+
+def _plain(server):
+    values = server.to_map()
+    values["state"] = server.state.value
+    return list(values.values())
+
+
+def _server_of(values):
+    server = Server.from_list(values)
+    server.state = ServerState(server.state)
+    return server
 
 
 @singledispatch
@@ -106,7 +125,7 @@
 
 @pack_statement.register
 def _(statement: ServerSeen):
-    return ["server", pack_servers([statement.server])[0]]
+    return ["server", _plain(statement.server)]
 
 
 @pack_statement.register
@@ -129,7 +148,7 @@
         if kind == "configuration":
             return ConfigurationSeen(table=unpack_table(value))
         if kind == "server":
-            return ServerSeen(server=unpack_servers([value])[0])
+            return ServerSeen(server=_server_of(value))
         if kind == "gone":
             return ServerGone(id=value)
         return UnreadableEntry.from_list(value)
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -160,17 +160,17 @@
 
     async def _read_from(self, address):
         """Return what a watcher knows, or ``None`` when it does not hear from the store."""
-        ask = KnownAsk(version=NO_VERSION)
+        ask = KnownAsk(version=NO_VERSION, revision=None)
         try:
             known = await self._peers.ask(address, ask, PEER_WAIT_MS + PEER_SLACK_MS)
+            if known.table is None or known.age_ms is None or known.age_ms > FRESH_MS:
+                return None
+            statements = [ConfigurationSeen(table=unpack_table(known.table))]
+            for server in unpack_servers(known.servers):
+                statements.append(ServerSeen(server=server))
         except PeerError as error:
             self._passed_over(address, error)
             return None
-        if known.table is None or known.age_ms is None or known.age_ms > FRESH_MS:
-            return None
-        statements = [ConfigurationSeen(table=unpack_table(known.table))]
-        for server in unpack_servers(known.servers):
-            statements.append(ServerSeen(server=server))
         return StoreView(statements=statements, revision=known.revision)
 
     async def _changes_from(self, address, revision):
--- a/packages/auburnhollow/src/auburnhollow/peers/codec.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/codec.py
@@ -1,5 +1,7 @@
 """Messages as msgpack."""
 
+import zlib
+
 import msgpack
 
 from ..exceptions import ProtocolError
@@ -8,6 +10,8 @@
 LONGEST_MESSAGE = 2 * 1024 * 1024
 # What is read from a connection at a time.
 READ_BYTES = 65_536
+# 7,300 servers take 0.5 MB.
+MOST_UNSQUEEZED = 8 * 1024 * 1024
 NO_ANSWER = 0
 
 _TYPES = {}
@@ -77,6 +81,26 @@
         raise ProtocolError(f"not a message: {error!r}") from error
 
 
+def squeeze(values):
+    """Return plain lists as compressed bytes: long ones repeat themselves, and links are costly."""
+    return zlib.compress(msgpack.packb(values), level=1)
+
+
+def unsqueeze(data):
+    """Return the plain lists in compressed bytes.
+
+    :raises ProtocolError: when there are none, or more than a message may hold.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        packed = decompressor.decompress(data, MOST_UNSQUEEZED)
+        if not decompressor.eof:
+            raise ProtocolError("not whole, or too long")
+        return msgpack.unpackb(packed, strict_map_key=False)
+    except (TypeError, ValueError, zlib.error, msgpack.UnpackException) as error:
+        raise ProtocolError(f"not compressed msgpack: {error!r}") from error
+
+
 def new_unpacker():
     """Return a streaming unpacker that bounds what one message may hold."""
     return msgpack.Unpacker(max_buffer_size=LONGEST_MESSAGE, strict_map_key=False)
