Tell other nodes how far the store has come, so that deaf watches are found

Cause, from logs: while the store dropped its history, two nodes' watches were ended at 28.8 s and these read anew; the watches of the five others stayed silent and ended by time after 6 s, at 32.7 to 33.3 s. Ruled out: the route of the change (each took it within 30 ms of its read), peers (all were known). Change: in a fleet whose nodes ask the store themselves, each tells the newest revision that it has heard; one whose watch does not tell of it within 100 ms asks anew on another connection. The node that ranks first waits 1.2 s a call, so that watches that all go deaf are found in 2.2 s. Tests: a deaf watch is ended by what another has heard; news of what is known ends none; the store's calls of a small fleet are bounded.

--- a/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
@@ -5,7 +5,7 @@
 from auburnhollow.membership import Membership
 from auburnhollow.membership.messages import NearAsk, Ping, PingRequest
 
-URGENT_KINDS = ("configuration", "server", "death", "survived")
+URGENT_KINDS = ("configuration", "server", "death", "survived", "revision")
 
 
 class Fleet:
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -12,6 +12,8 @@
 from auburnhollow.exceptions import NoRoute, NotReady, PeerError, QueryError, TooLarge
 from auburnhollow.follow import ChangeServer, Follower, Neighbours, SharedFeed
 from auburnhollow.follow.messages import ChangesAsk, KnownAsk
+from auburnhollow.follow.news import RevisionSpread
+from auburnhollow.follow.sharing import ALONE_UP_TO
 from auburnhollow.hashing import first_ranked
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
@@ -117,6 +119,13 @@
             self.dispatcher.forget,
             self.metrics,
         )
+        RevisionSpread(
+            self.follower,
+            self.fleet.spreader,
+            self.fleet.table,
+            self.clock,
+            lambda: self._count_nodes() <= ALONE_UP_TO,
+        )
         changes = ChangeServer(self.follower, shared, self.clock)
         self.peer_server.on(ChangesAsk, changes.answer)
         neighbours = Neighbours(
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -4,6 +4,7 @@
 import logging
 from functools import singledispatch
 
+from ..clock import MS_PER_SECOND
 from ..decisions import decide
 from ..exceptions import StoreUnavailable
 from ..metrics import Metrics
@@ -17,6 +18,8 @@
 # Servers start and leave in groups: what changes within this time costs one call, not one each.
 COLLECT_MS = 300.0
 FIRST_PAUSE_MS = 100.0
+# One way from the store differs by tens of milliseconds between nodes; more is a deaf watch.
+HEARD_MS = 100.0
 LONGEST_PAUSE_MS = 800.0
 
 
@@ -59,7 +62,8 @@
 
     ``changes`` keeps what has changed, for other nodes. ``first_answer`` is an event that is set
     once the first read has ended, well or not. ``ask_others`` is a coroutine function that is
-    called while the store can't be reached, to learn from other nodes.
+    called while the store can't be reached, to learn from other nodes. ``tell`` is a function that
+    is called with each newer revision of the store, for other nodes' :meth:`hear`.
 
     >>> follower = Follower(feed, registry, clock, random)
     >>> task = asyncio.create_task(follower.run())
@@ -68,17 +72,20 @@
     __slots__ = (
         "_clock",
         "_feed",
+        "_is_behind",
         "_is_reachable",
         "_metrics",
         "_random",
         "_revision",
         "_routes",
         "_seen_ms",
+        "_waiting",
         "changes",
         "ask_others",
         "first_answer",
         "on_routes",
         "registry",
+        "tell",
     )
 
     def __init__(self, feed, registry, clock, random, on_routes=None, metrics=None):
@@ -86,15 +93,18 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics or Metrics()
+        self._is_behind = False
         self._is_reachable = None
         self._revision = None
         self._routes = None
         self._seen_ms = None
+        self._waiting = None
         self.registry = registry
         self.changes = ChangeLog()
         self.ask_others = None
         self.first_answer = asyncio.Event()
         self.on_routes = on_routes
+        self.tell = None
 
     @property
     def routes(self):
@@ -138,6 +148,16 @@
         if self.on_routes is not None:
             self.on_routes(table)
 
+    def hear(self, revision):
+        """Take that the store has told another node of ``revision``.
+
+        A watch that does not tell of it soon hears nothing any more: the store is asked anew.
+        """
+        if self._revision is None or revision <= self._revision:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(HEARD_MS / MS_PER_SECOND, self._end_deaf, revision)
+
     async def run(self):
         """Follow the store until cancelled."""
         pause_ms = FIRST_PAUSE_MS
@@ -167,23 +187,54 @@
         else:
             self._metrics.incr("store.watches")
             try:
-                view = await self._feed.changes(self._revision, WAIT_MS)
+                view = await self._next_changes()
             except HistoryLost:
                 decide(log, "history lost, reading anew", revision=self._revision)
                 self._revision = None
                 return
+            if view is None:
+                return
             self._reached()
             for statement in view.statements:
                 take(statement, self)
-            self._revision = view.revision
+            self._moved(view.revision)
             self.changes.add(view.revision, view.statements)
             if view.statements:
                 await self._clock.sleep(COLLECT_MS)
             return
-        self._revision = view.revision
+        self._moved(view.revision)
         self.changes.restart(view.revision)
         self.first_answer.set()
 
+    async def _next_changes(self):
+        """Return the next changes, or ``None`` when the watch was found deaf."""
+        self._is_behind = False
+        work = self._feed.changes(self._revision, WAIT_MS)
+        self._waiting = asyncio.get_running_loop().create_task(work)
+        try:
+            return await self._waiting
+        except asyncio.CancelledError:
+            if not self._is_behind:
+                raise
+            decide(log, "watch is deaf, asking anew", revision=self._revision)
+            return None
+        finally:
+            self._waiting.cancel()
+            self._waiting = None
+
+    def _end_deaf(self, revision):
+        """End the present wait if the store has not told of ``revision`` yet."""
+        if self._waiting is None or self._revision is None or self._revision >= revision:
+            return
+        self._is_behind = True
+        self._waiting.cancel()
+
+    def _moved(self, revision):
+        is_newer = self._revision is None or revision > self._revision
+        self._revision = revision
+        if is_newer and self.tell is not None:
+            self.tell(revision)
+
     def _take_all(self, view):
         servers = []
         for statement in view.statements:
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/follow/news.py
@@ -0,0 +1,34 @@
+"""Telling other nodes how far the store has come."""
+
+from ..gossip import Fact
+
+KIND = "revision"
+KEY = "store"
+# By then every watch has ended and was asked anew.
+KEPT_MS = 60_000
+
+
+class RevisionSpread:
+    """Tells peers of the store's newest revision, so that a deaf watch is found at once.
+
+    :param follower: :class:`~auburnhollow.follow.Follower`.
+    :param spreader: :class:`~auburnhollow.gossip.Spreader`.
+    :param table: :class:`~auburnhollow.gossip.Table`.
+    :param is_needed: function that tells whether the nodes ask the store themselves.
+    """
+
+    __slots__ = ("_clock", "_is_needed", "_spreader")
+
+    def __init__(self, follower, spreader, table, clock, is_needed):
+        self._clock = clock
+        self._is_needed = is_needed
+        self._spreader = spreader
+        follower.tell = self._tell
+        table.on(KIND, lambda fact: follower.hear(fact.version))
+
+    def _tell(self, revision):
+        if not self._is_needed():
+            return
+        expires_ms = self._clock.wall_ms() + KEPT_MS
+        fact = Fact(kind=KIND, key=KEY, version=revision, value=[], expires_ms=expires_ms)
+        self._spreader.publish(fact)
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -7,7 +7,7 @@
 
 from ..decisions import decide
 from ..exceptions import PeerError, StoreUnavailable
-from ..hashing import ranked
+from ..hashing import first_ranked, ranked
 from .feed import ConfigurationSeen, Feed, HistoryLost, ServerSeen, StoreView
 from .messages import (
     Changes,
@@ -154,7 +154,7 @@
                 self._is_direct = False
                 return view
         self._go_direct(watchers)
-        if self._has_followers():
+        if self._has_followers() or self._ranks_first():
             wait_ms = min(wait_ms, WATCHER_WAIT_MS)
         return await self._store.changes(revision, wait_ms)
 
@@ -222,6 +222,14 @@
     def _has_followers(self):
         return len(self._membership.answering()) > ALONE_UP_TO
 
+    def _ranks_first(self):
+        """Return whether this node looks after the others' watches, where all ask the store.
+
+        What it hears it tells; of watches that all go deaf at once, its own is found first.
+        """
+        ids = self._membership.answering()
+        return first_ranked(SUBJECT, ids) == self._membership.me.id
+
     def _passed_over(self, address, error):
         decide(log, "watcher passed over", level=logging.DEBUG, peer=address, error=str(error))
 
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
@@ -1,6 +1,7 @@
 """Following the store through outages, lost history and old versions."""
 
 import asyncio
+import math
 import random
 
 from auburnhollow.exceptions import StoreUnavailable
@@ -14,6 +15,7 @@
     StoreView,
     UnreadableEntry,
 )
+from auburnhollow.follow.follower import HEARD_MS
 from auburnhollow.routes import FrontLimits, RouteTable
 from auburnhollow.servers import ServerRegistry
 from auburnhollow_standins.fake_servers import a_server
@@ -159,3 +161,62 @@
         [ServerSeen(server=a_server("a", sequence=2))],
     )
     assert usable == ["a"]
+
+
+class DeafFeed(ScriptedFeed):
+    """Tells of the next changes only to a watch that is asked for after they were made."""
+
+    def __init__(self, clock, *script):
+        super().__init__(clock, *script)
+        self.changed_ms = math.inf
+
+    async def changes(self, revision, wait_ms):
+        asked_ms = self.clock.now_ms()
+        self.calls.append((asked_ms, "changes"))
+        if asked_ms < self.changed_ms:
+            await self.clock.sleep(wait_ms + 1_000.0)
+            raise StoreUnavailable("silent")
+        if self.revision == revision:
+            await self.clock.sleep(wait_ms)
+        return StoreView(statements=[version(9)], revision=self.revision)
+
+
+def test_a_deaf_watch_is_ended_by_what_another_node_has_heard():
+    async def play():
+        clock = VirtualClock()
+        feed = DeafFeed(clock, [version(4)])
+        follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await clock.sleep(1_000.0)
+        feed.changed_ms = clock.now_ms()
+        feed.revision += 1
+        follower.hear(feed.revision)
+        await clock.sleep(HEARD_MS + 20.0)
+        found = follower.routes.version, follower.is_reachable
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return found, task.cancelled()
+
+    assert run_virtually(play()) == ((9, True), True)
+
+
+def test_news_of_what_is_known_ends_no_watch():
+    async def play():
+        clock = VirtualClock()
+        feed = ScriptedFeed(clock, [version(4)], [version(9)])
+        follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
+        told = []
+        follower.tell = told.append
+        task = asyncio.create_task(follower.run())
+        follower.hear(7)
+        await clock.sleep(1_000.0)
+        before = len(feed.calls)
+        for revision in (1, 2):
+            follower.hear(revision)
+        await clock.sleep(1_000.0)
+        after = len(feed.calls)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return told, after - before
+
+    assert run_virtually(play()) == ([1, 2], 0)
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
@@ -18,6 +18,7 @@
     StoreView,
     UnreadableEntry,
 )
+from auburnhollow.follow.follower import WAIT_MS
 from auburnhollow.follow.messages import (
     ChangesAsk,
     KnownAsk,
@@ -27,7 +28,7 @@
     unpack_statement,
     unpack_table,
 )
-from auburnhollow.follow.sharing import ALONE_UP_TO, WATCHERS
+from auburnhollow.follow.sharing import ALONE_UP_TO, WATCHER_WAIT_MS, WATCHERS
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
 from auburnhollow.peers import Peers, PeerServer, pack
@@ -425,3 +426,16 @@
     for asked, revision, servers in run_virtually(play()):
         assert servers == revision - 1
         assert asked is None or revision > asked
+
+
+@pytest.mark.parametrize("count", [1, 7])
+def test_in_a_small_fleet_one_node_finds_soon_that_its_watch_is_deaf(count):
+    async def scenario(fleet):
+        before = fleet.store.calls
+        await fleet.clock.sleep(30_000)
+        return fleet.store.calls - before
+
+    calls = play(count, scenario)
+    often = 30_000 / WATCHER_WAIT_MS
+    seldom = (count - 1) * 30_000 / WAIT_MS
+    assert 0.8 * often + seldom * 0.8 <= calls <= often + seldom + count
