End a follower that is cancelled as its watch is found deaf

Found by reading: a cancellation in that moment was taken for the end of the watch, and stopping would have waited for ever. Test: failed before, passes now.

--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -214,7 +214,7 @@
         try:
             return await self._waiting
         except asyncio.CancelledError:
-            if not self._is_behind:
+            if not self._is_behind or asyncio.current_task().cancelling():
                 raise
             decide(log, "watch is deaf, asking anew", revision=self._revision)
             return None
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
@@ -220,3 +220,18 @@
         return told, after - before
 
     assert run_virtually(play()) == ([1, 2], 0)
+
+
+def test_a_follower_ends_that_is_cancelled_as_its_watch_is_found_deaf():
+    async def play():
+        clock = VirtualClock()
+        feed = DeafFeed(clock, [version(4)])
+        follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await clock.sleep(1_000.0)
+        follower._end_deaf(feed.revision + 1)
+        task.cancel()
+        await clock.sleep(50.0)
+        return task.cancelled()
+
+    assert run_virtually(play())
