Join through a node of an earlier release, which closes the connection

Found by reading: the way back for a node that does not know the question expected a refusal, but a message of an unknown kind ends the connection. Now any failure leads to the exchange with that node itself. The test plays the closed connection: failed before, passes now.

--- a/packages/auburnhollow/src/auburnhollow/membership/detector.py
+++ b/packages/auburnhollow/src/auburnhollow/membership/detector.py
@@ -4,7 +4,7 @@
 import logging
 import math
 
-from ..exceptions import PeerError, PeerRefused
+from ..exceptions import PeerError
 from .members import ALIVE, DEAD, KIND, LEFT, SUSPECT, Member, fact_of, member_of
 from .messages import Ack, Near, NearAsk, Ping, PingRequest
 
@@ -166,8 +166,8 @@
         )
         try:
             return (await self._peers.ask(address, ask, NEAR_TIMEOUT_MS)).addresses
-        except PeerRefused:
-            # It is of a release that does not know the question.
+        except PeerError:
+            # One of an earlier release does not know the question, and closes the connection.
             return ()
 
     async def run(self):
--- a/packages/auburnhollow/src/auburnhollow/membership/tests/test_joining.py
+++ b/packages/auburnhollow/src/auburnhollow/membership/tests/test_joining.py
@@ -7,7 +7,7 @@
 
 from auburnhollow.clock import ManualClock
 from auburnhollow.events import Recorder
-from auburnhollow.exceptions import PeerError, PeerRefused
+from auburnhollow.exceptions import PeerError
 from auburnhollow.gossip import Push, Spreader, SyncAsk, Table
 from auburnhollow.gossip.messages import Fetch
 from auburnhollow.membership import ALIVE, Member, Membership
@@ -97,7 +97,7 @@
             Fetch: self.spreader.on_fetch,
         }
         if type(message) not in handlers or self.is_old and type(message) is NearAsk:
-            raise PeerRefused("not taken here")
+            raise PeerError("connection lost")
         return await handlers[type(message)](message)
 
     async def spread(self):
