--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -18,7 +18,7 @@
 # Servers start and leave in groups: what changes within this time costs one call, not one each.
 COLLECT_MS = 300.0
 FIRST_PAUSE_MS = 100.0
-# One way from the store differs by tens of milliseconds between nodes; more is a deaf watch.
+# One way from the store differs by tens of milliseconds between nodes; more is a silent watch.
 HEARD_MS = 100.0
 LONGEST_PAUSE_MS = 800.0
 
@@ -156,7 +156,7 @@
         if self._revision is None or revision <= self._revision:
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(HEARD_MS / MS_PER_SECOND, self._end_deaf, revision)
+        loop.call_later(HEARD_MS / MS_PER_SECOND, self._end_silent, revision)
 
     async def run(self):
         """Follow the store until cancelled."""
@@ -207,7 +207,7 @@
         self.first_answer.set()
 
     async def _next_changes(self):
-        """Return the next changes, or ``None`` when the watch was found deaf."""
+        """Return the next changes, or ``None`` when the watch was found silent."""
         self._is_behind = False
         work = self._feed.changes(self._revision, WAIT_MS)
         self._waiting = asyncio.get_running_loop().create_task(work)
@@ -216,13 +216,13 @@
         except asyncio.CancelledError:
             if not self._is_behind or asyncio.current_task().cancelling():
                 raise
-            decide(log, "watch is deaf, asking anew", revision=self._revision)
+            decide(log, "watch is silent, asking anew", revision=self._revision)
             return None
         finally:
             self._waiting.cancel()
             self._waiting = None
 
-    def _end_deaf(self, revision):
+    def _end_silent(self, revision):
         """End the present wait if the store has not told of ``revision`` yet."""
         if self._waiting is None or self._revision is None or self._revision >= revision:
             return
--- a/packages/auburnhollow/src/auburnhollow/follow/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/messages.py
@@ -3,7 +3,7 @@
 from functools import lru_cache, singledispatch
 
 from ..exceptions import ProtocolError
-from ..peers.codec import Message, register, squeeze, unsqueeze
+from ..peers.codec import Message, compress, decompress, register
 from ..routes import Branch, FrontLimits, Route, RouteTable, Service
 from ..servers import Server, ServerState
 from .feed import ConfigurationSeen, ServerGone, ServerSeen, UnreadableEntry
@@ -59,7 +59,7 @@
         values["shards"] = list(route.shards)
         routes.append(list(values.values()))
     services = [service.to_list() for service in table.services.values()]
-    return squeeze([table.version, routes, services, table.limits.to_list()])
+    return compress([table.version, routes, services, table.limits.to_list()])
 
 
 def unpack_table(data):
@@ -68,7 +68,7 @@
     :raises ProtocolError: when it is none.
     """
     try:
-        return _table_of(*unsqueeze(data))
+        return _table_of(*decompress(data))
     except (TypeError, ValueError) as error:
         raise ProtocolError(f"not a configuration: {error!r}") from error
 
@@ -86,7 +86,7 @@
 
 def pack_servers(servers):
     """Return servers as bytes."""
-    return squeeze([_plain(server) for server in servers])
+    return compress([_plain(server) for server in servers])
 
 
 def unpack_servers(data):
@@ -95,7 +95,7 @@
     :raises ProtocolError: when they are none.
     """
     try:
-        return [_server_of(values) for values in unsqueeze(data)]
+        return [_server_of(values) for values in decompress(data)]
     except (TypeError, ValueError) as error:
         raise ProtocolError(f"not servers: {error!r}") from error
 
--- a/packages/auburnhollow/src/auburnhollow/follow/news.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/news.py
@@ -9,7 +9,7 @@
 
 
 class RevisionSpread:
-    """Tells peers of the store's newest revision, so that a deaf watch is found at once.
+    """Tells peers of the store's newest revision, so that a silent watch is found at once.
 
     :param follower: :class:`~auburnhollow.follow.Follower`.
     :param spreader: :class:`~auburnhollow.gossip.Spreader`.
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -26,10 +26,10 @@
 WATCHERS = 5
 SUBJECT = "store"
 KEPT_CHANGES = 400
-# Calls between nodes are not priced, and a deaf one must be noticed within the second.
+# Calls between nodes are not priced, and a silent one must be noticed within the second.
 PEER_WAIT_MS = 1_000.0
 PEER_SLACK_MS = 500.0
-# A watcher must find within two seconds that its own watch is deaf.
+# A watcher must find within two seconds that its own watch is silent.
 WATCHER_WAIT_MS = 1_200.0
 TRIED_WATCHERS = 3
 # What a watcher knows must not be older than a change may take, less the way here.
@@ -225,7 +225,7 @@
     def _ranks_first(self):
         """Return whether this node looks after the others' watches, where all ask the store.
 
-        What it hears it tells; of watches that all go deaf at once, its own is found first.
+        What it hears it tells; of watches that all fall silent at once, its own is found first.
         """
         ids = self._membership.answering()
         return first_ranked(SUBJECT, ids) == self._membership.me.id
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
@@ -163,7 +163,7 @@
     assert usable == ["a"]
 
 
-class DeafFeed(ScriptedFeed):
+class SilentFeed(ScriptedFeed):
     """Tells of the next changes only to a watch that is asked for after they were made."""
 
     def __init__(self, clock, *script):
@@ -181,10 +181,10 @@
         return StoreView(statements=[version(9)], revision=self.revision)
 
 
-def test_a_deaf_watch_is_ended_by_what_another_node_has_heard():
+def test_a_silent_watch_is_ended_by_what_another_node_has_heard():
     async def play():
         clock = VirtualClock()
-        feed = DeafFeed(clock, [version(4)])
+        feed = SilentFeed(clock, [version(4)])
         follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
         task = asyncio.create_task(follower.run())
         await clock.sleep(1_000.0)
@@ -222,14 +222,14 @@
     assert run_virtually(play()) == ([1, 2], 0)
 
 
-def test_a_follower_ends_that_is_cancelled_as_its_watch_is_found_deaf():
+def test_a_follower_ends_that_is_cancelled_as_its_watch_is_found_silent():
     async def play():
         clock = VirtualClock()
-        feed = DeafFeed(clock, [version(4)])
+        feed = SilentFeed(clock, [version(4)])
         follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
         task = asyncio.create_task(follower.run())
         await clock.sleep(1_000.0)
-        follower._end_deaf(feed.revision + 1)
+        follower._end_silent(feed.revision + 1)
         task.cancel()
         await clock.sleep(50.0)
         return task.cancelled()
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_neighbours.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_neighbours.py
@@ -22,7 +22,7 @@
     unpack_table,
 )
 from auburnhollow.peers import Peers, pack
-from auburnhollow.peers.codec import MOST_UNSQUEEZED, squeeze
+from auburnhollow.peers.codec import MOST_DECOMPRESSED, compress
 from auburnhollow.servers import ServerRegistry
 from auburnhollow_standins.fake_servers import a_server
 from auburnhollow_standins.virtual import VirtualClock, run_virtually
@@ -56,7 +56,7 @@
         unpack_statement(packed)
 
 
-@pytest.mark.parametrize("data", [b"", b"x", 7, squeeze([1, 2]), squeeze(5), squeeze([[1]])])
+@pytest.mark.parametrize("data", [b"", b"x", 7, compress([1, 2]), compress(5), compress([[1]])])
 def test_what_is_no_configuration_and_no_servers_is_refused(data):
     with pytest.raises(ProtocolError):
         unpack_table(data)
@@ -66,7 +66,7 @@
 
 def test_what_unpacks_to_more_than_a_message_may_hold_is_refused():
     with pytest.raises(ProtocolError):
-        unpack_servers(squeeze([b"0" * (MOST_UNSQUEEZED + 1)]))
+        unpack_servers(compress([b"0" * (MOST_DECOMPRESSED + 1)]))
 
 
 class Fixed(Peers):
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
@@ -295,7 +295,7 @@
 
 
 @pytest.mark.parametrize("count", [1, 7])
-def test_in_a_small_fleet_one_node_finds_soon_that_its_watch_is_deaf(count):
+def test_in_a_small_fleet_one_node_finds_soon_that_its_watch_is_silent(count):
     async def scenario(fleet):
         before = fleet.store.calls
         await fleet.clock.sleep(30_000)
--- a/packages/auburnhollow/src/auburnhollow/peers/codec.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/codec.py
@@ -11,7 +11,7 @@
 # What is read from a connection at a time.
 READ_BYTES = 65_536
 # 7,300 servers take 0.5 MB.
-MOST_UNSQUEEZED = 8 * 1024 * 1024
+MOST_DECOMPRESSED = 8 * 1024 * 1024
 NO_ANSWER = 0
 
 _TYPES = {}
@@ -81,19 +81,19 @@
         raise ProtocolError(f"not a message: {error!r}") from error
 
 
-def squeeze(values):
+def compress(values):
     """Return plain lists as compressed bytes: long ones repeat themselves, and links are costly."""
     return zlib.compress(msgpack.packb(values), level=1)
 
 
-def unsqueeze(data):
+def decompress(data):
     """Return the plain lists in compressed bytes.
 
     :raises ProtocolError: when there are none, or more than a message may hold.
     """
     decompressor = zlib.decompressobj()
     try:
-        packed = decompressor.decompress(data, MOST_UNSQUEEZED)
+        packed = decompressor.decompress(data, MOST_DECOMPRESSED)
         if not decompressor.eof:
             raise ProtocolError("not whole, or too long")
         return msgpack.unpackb(packed, strict_map_key=False)
