--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from ..decisions import log_decision
 from ..exceptions import Quarantined, Ran
 from ..records import Record
 from ..retry import jittered_ms
@@ -207,6 +208,16 @@
         blame = 1.0 if as_canary else 1.0 / len(requests)
         death = Death(fingerprint=fingerprint, server=server, shard=shard, blame=blame)
         self.add_death(death)
+        log_decision(
+            log,
+            "server died under a request",
+            fingerprint=fingerprint,
+            server=server,
+            shard=shard,
+            other_requests=len(requests) - 1,
+            deaths=len(self._suspects[fingerprint].deaths),
+            blame=round(self._suspects[fingerprint].blame(), 2),
+        )
         if self.on_death is not None:
             self.on_death(death)
 
--- a/packages/auburnhollow/src/auburnhollow/relay/call_log.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/call_log.py
@@ -33,7 +33,7 @@
     )
 
 
-def log_failure(request_id, call, error):
+def log_failure(request_id, call, error, fingerprint):
     """Log a call that failed."""
     log_decision(
         log,
@@ -43,6 +43,7 @@
         service=call.subrequest.service,
         error=error,
         took_ms=round(call.ended_ms - call.began_ms),
+        fingerprint=fingerprint,
     )
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -54,7 +54,9 @@
         now_ms = self._clock.now_ms()
         call.end(f"status {answer.status}", now_ms)
         if answer.status >= 500:
-            call_log.log_failure(self._request.id, call, f"status {answer.status}")
+            call_log.log_failure(
+                self._request.id, call, f"status {answer.status}", self._fingerprint
+            )
             self._metrics.incr("relay.calls_fault")
             self.record_failure(call, now_ms)
             return
@@ -68,7 +70,7 @@
         """Record a :class:`~auburnhollow.exceptions.BackendError`."""
         now_ms = self._clock.now_ms()
         call.end(type(error).__name__, now_ms)
-        call_log.log_failure(self._request.id, call, str(error))
+        call_log.log_failure(self._request.id, call, str(error), self._fingerprint)
         self._metrics.incr(f"relay.calls_{error.kind}")
         record_error(error, call, self, now_ms)
 
