--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
@@ -0,0 +1,153 @@
+"""Requests that crash every server that begins to run them."""
+
+import asyncio
+
+from auburnhollow.exceptions import BackendDied, BackendUnreachable, QueryError
+from auburnhollow_standins.fake_servers import (
+    HOME,
+    FakeServers,
+    RelayBed,
+    make_answer,
+    make_request,
+    make_route,
+)
+from auburnhollow_standins.virtual import run_virtually
+
+# The users' rule: at most three retries reach servers once the request has crashed three and the
+# fleet has had this long to notice.
+MAX_DEATHS = 3
+MAX_LATE_RETRIES = 3
+NOTICE_MS = 4_000.0
+SERVER_RESTART_MS = 3_000.0
+CRASH_PATH = "/crash"
+
+
+class CrashingServers(FakeServers):
+    """Servers that end, with all of their calls, when they begin to run a crashing request.
+
+    ``crashes`` lists the times at which servers ended, ``crashing_sends`` the pairs of time and id
+    of the crashing requests that reached a server.
+    """
+
+    __slots__ = ("_calls_by_server", "_down_until_ms", "crashes", "crashing_sends")
+
+    def __init__(self, clock, work_ms=20.0):
+        super().__init__(clock, work_ms)
+        self._calls_by_server = {}
+        self._down_until_ms = {}
+        self.crashes = []
+        self.crashing_sends = []
+
+    async def send(self, server, request, remaining_ms, keep_alive=True, on_write=None):
+        """Answer after ``work_ms``, or fail when the server ends before that."""
+        if self._is_down(server):
+            raise BackendUnreachable(f"{server.id}: refused")
+        if on_write is not None:
+            on_write()
+        ended = asyncio.get_running_loop().create_future()
+        calls = self._calls_by_server.setdefault(server.id, [])
+        calls.append(ended)
+        try:
+            async with self._clock.timeout(1.0 if request.path == CRASH_PATH else self.work_ms):
+                await ended
+        except TimeoutError:
+            if request.path != CRASH_PATH:
+                return make_answer(server)
+            self._end(server, request)
+        finally:
+            calls.remove(ended)
+        raise BackendDied(f"{server.id}: died")
+
+    async def can_connect(self, server):
+        """Return whether the server runs."""
+        return not self._is_down(server)
+
+    def _is_down(self, server):
+        return self._clock.now_ms() < self._down_until_ms.get(server.id, 0.0)
+
+    def _end(self, server, request):
+        now_ms = self._clock.now_ms()
+        self.crashes.append(now_ms)
+        self.crashing_sends.append((now_ms, request.id))
+        self._down_until_ms[server.id] = now_ms + SERVER_RESTART_MS
+        for ended in self._calls_by_server[server.id]:
+            if not ended.done():
+                ended.set_result(None)
+
+    def count_late_retries(self):
+        """Return how many requests reached servers after the fleet had had time to notice."""
+        if len(self.crashes) < MAX_DEATHS:
+            return 0
+        noticed_ms = self.crashes[MAX_DEATHS - 1] + NOTICE_MS
+        return len({request for at_ms, request in self.crashing_sends if at_ms > noticed_ms})
+
+
+def new_bed(services):
+    bed = RelayBed(dict.fromkeys(services, (HOME,) * 8))
+    bed.servers = CrashingServers(bed.clock, work_ms=60.0)
+    bed.dispatcher.client = bed.servers
+    bed.allow_repeats(*services)
+    return bed
+
+
+async def dispatch(bed, route, request):
+    """Send a request and return its answer, or ``None`` when it failed."""
+    try:
+        if route.shards:
+            return await bed.dispatcher.gather(request, route)
+        return await bed.dispatcher.forward(request, route, route.branches[0].service)
+    except QueryError:
+        return None
+
+
+async def send_ordinary_requests(bed, route, interval_ms=2.0):
+    """Keep the servers busy with requests of other callers until cancelled."""
+    tasks = set()
+    number = 0
+    while True:
+        number += 1
+        request = make_request(bed.clock, f"o-{number}", target=f"/o{number}", caller=f"c{number}")
+        task = asyncio.get_running_loop().create_task(dispatch(bed, route, request))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await bed.clock.sleep(interval_ms)
+
+
+def repeat_crashing_request(services, make_attempt, attempts=25, interval_ms=1_000.0):
+    """Repeat a crashing request under load and return the :class:`CrashingServers`.
+
+    :param make_attempt: function of the number of the attempt that returns the request's target
+        and the name of its route.
+    """
+
+    async def scenario():
+        bed = new_bed(services)
+        load = asyncio.get_running_loop().create_task(
+            send_ordinary_requests(bed, make_route(services))
+        )
+        await bed.clock.sleep(500)
+        for number in range(attempts):
+            target, name = make_attempt(number)
+            request = make_request(bed.clock, f"bad-{number}", target=target)
+            await dispatch(bed, make_route(services, name=name), request)
+            await bed.clock.sleep(interval_ms)
+        load.cancel()
+        return bed.servers
+
+    return run_virtually(scenario())
+
+
+def test_a_request_that_crashed_three_servers_under_load_is_not_sent_on():
+    late_retries = {}
+    for services in (("s0",), ("s0", "s1", "s2", "s3")):
+        servers = repeat_crashing_request(services, lambda _number: (CRASH_PATH, "route"))
+        late_retries[len(services)] = servers.count_late_retries()
+    assert max(late_retries.values()) <= MAX_LATE_RETRIES, late_retries
+
+
+def test_a_crashing_request_with_another_query_or_route_name_is_not_sent_on():
+    servers = repeat_crashing_request(
+        ("s0",), lambda number: (f"{CRASH_PATH}?page={number}", f"route-{number // 2}")
+    )
+    assert servers.count_late_retries() <= MAX_LATE_RETRIES
+    assert len(servers.crashes) <= MAX_DEATHS
