Refuse a request after the third server that ends under it, whatever else ran there

Cause: each death was divided by the number of requests on the server, and the limit was two whole deaths; any answer within a second kept a suspect free, and an answer of a shard that had lost a server erased all deaths. The relay ran a suspect on all shards at once, so that the first attempt after a quarantine could end a server of each. A node whose own answers explained the deaths told nobody, so its peers refused ordinary requests for two minutes; and no peer heard that a request had been cleared.

Change: evidence and sentence are apart. Every ending counts whole, once a server and life. Three are enough, two in one shard or two of servers that ran nothing else. Servers that end within a second count as one if all of them ran another request too, or if other shards answered: a failing rack has such survivors, a crashing request has not. One answer erases nothing; ten for each ending do. An ending beside a request that is already in quarantine is explained by that one. After the quarantine the first node by rank sends the request to one server alone; an answer there clears it on all nodes, anything else starts the next quarantine. Quarantines of requests that other shards have answered each time begin at 10 s instead of 120.

Ruled out: lower limits with the division kept (a rack that dies under many requests would then quarantine them, which test_a_failing_rack_quarantines_no_request forbids).

test_at_most_once builds its quarantined order through record_death now; it checks what it did.

--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -27,7 +27,7 @@
 )
 from auburnhollow.peers import PeerServer
 from auburnhollow.quarantine import Quarantine
-from auburnhollow.quarantine.gossip import DeathGossip
+from auburnhollow.quarantine.gossip import QuarantineGossip
 from auburnhollow.routing import Ejection, ReplicaChoice
 from auburnhollow.scatter import Coordinator
 from auburnhollow.scatter.coordinator import Components
@@ -244,7 +244,7 @@
             self.table,
             self.clock,
         )
-        DeathGossip(self.components.quarantine, self.gossiper, self.table, self.clock)
+        QuarantineGossip(self.components.quarantine, self.gossiper, self.table, self.clock)
         self.configuration_holder.on_change(self._forget_removed_servers)
 
     def _wire_messages(self):
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -19,7 +19,7 @@
 from auburnhollow.metrics import Metrics
 from auburnhollow.peers import PeerClient, PeerServer
 from auburnhollow.quarantine import Quarantine
-from auburnhollow.quarantine.gossip import DeathGossip
+from auburnhollow.quarantine.gossip import QuarantineGossip
 from auburnhollow.relay import Dispatcher, DispatchSettings, Merged
 from auburnhollow.relay.aggregators import Aggregators
 from auburnhollow.relay.choice import ServerChoice
@@ -273,7 +273,7 @@
         self.quarantine = Quarantine(
             self.clock, self.events, self._random, may_probe=self._may_probe
         )
-        DeathGossip(self.quarantine, self.fleet.gossiper, self.fleet.table, self.clock)
+        QuarantineGossip(self.quarantine, self.fleet.gossiper, self.fleet.table, self.clock)
 
     async def _join(self):
         """Contact the seeds until one answers, and repeat this for as long as the node runs."""
--- a/packages/auburnhollow/src/auburnhollow/once/tests/test_at_most_once.py
+++ b/packages/auburnhollow/src/auburnhollow/once/tests/test_at_most_once.py
@@ -17,7 +17,6 @@
 )
 from auburnhollow.once import claim_store, parse_key
 from auburnhollow.quarantine import fingerprint_of
-from auburnhollow.quarantine.quarantine import Death
 from auburnhollow_standins.histories import record_history
 from auburnhollow_standins.virtual import run_virtually
 from auburnhollow_standins.virtual_fleet import make_document, virtual_fleet
@@ -190,11 +189,7 @@
 def quarantine_order(fleet):
     quarantine = fleet.nodes["n0"].node.components.quarantine
     for server in ("a", "b"):
-        quarantine.add_death(
-            Death(
-                fingerprint=fingerprint_of("desk", {"any": 1}), server=server, shard="s", blame=1.0
-            )
-        )
+        quarantine.record_death(server, "s", fingerprint_of("desk", {"any": 1}))
 
 
 REFUSALS = [lose_configuration, lose_service, lose_servers, fill_limiter, quarantine_order]
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -0,0 +1,178 @@
+"""Evidence that a request crashes the backend servers that run it."""
+
+import math
+
+from ..records import Record
+
+# How many servers a request may crash before it counts as the cause.
+ENDINGS_LIMIT = 3
+# Fewer are enough if the servers are of one shard, or ran nothing else.
+CLEAR_ENDINGS_LIMIT = 2
+# A request with this many answers for each ending does not crash the servers that run it.
+ANSWERS_PER_ENDING = 10
+# Endings and answers this close together count as simultaneous.
+CORRELATION_WINDOW_MS = 1_000.0
+# How long an ending counts.
+SUSPECT_MS = 600_000.0
+# Bounds the size of an entry. The lowest fingerprints are kept, so that the requests that several
+# servers have in common are found.
+MAX_OTHERS = 4
+OTHER_DIGITS = 8
+
+
+class Ending(Record):
+    """The end of a server of ``shard`` while it ran a request.
+
+    In the relay, ``shard`` is the name of the server's service. ``incarnation`` tells two lives of
+    a server with the same id apart. ``others`` are abbreviated fingerprints of other requests that
+    ran on the server. ``is_answered`` is set if another server had just answered the request.
+    """
+
+    __slots__ = ("fingerprint", "server", "incarnation", "shard", "others", "is_answered")
+
+
+class Burst:
+    """Endings that came about together.
+
+    :param began_ms: time of the first one.
+    """
+
+    __slots__ = ("began_ms", "endings", "is_answered")
+
+    def __init__(self, began_ms):
+        self.began_ms = began_ms
+        self.endings = []
+        self.is_answered = False
+
+    def count(self, shard=None):
+        """Return how many endings count, of all shards or of one.
+
+        Servers that end together may have a common cause such as a failing rack. They count as one
+        if all of them ran another request as well, or if servers of other shards answered.
+        """
+        endings = [ending for ending in self.endings if shard in (None, ending.shard)]
+        is_explained = self._is_shared() or (shard is None and self.is_answered)
+        return min(1, len(endings)) if is_explained else len(endings)
+
+    def count_alone(self):
+        """Return how many servers ran nothing else, 0 if another one answered the request."""
+        if self.is_answered:
+            return 0
+        return sum(1 for ending in self.endings if not ending.others)
+
+    def _is_shared(self):
+        """Return whether another request ran on all of these servers."""
+        return bool(set.intersection(*[set(ending.others) for ending in self.endings]))
+
+
+class Evidence:
+    """The endings of servers under one request, and its answers since the first of them.
+
+    Every ending counts, whatever else ran on the server, and several reports of one ending count
+    once. Single answers do not erase endings.
+
+    ``_known`` maps a server's id and incarnation to its last ending and the time of it.
+    """
+
+    __slots__ = ("_answers", "_bursts", "_known")
+
+    def __init__(self):
+        self._answers = 0
+        self._bursts = []
+        self._known = {}
+
+    def __len__(self):
+        return sum(len(burst.endings) for burst in self._bursts)
+
+    @property
+    def servers(self):
+        """Ids of the servers that ended."""
+        return sorted({server for server, _incarnation in self._known})
+
+    @property
+    def shards(self):
+        """Names of the shards in which a server ended."""
+        return {ending.shard for burst in self._bursts for ending in burst.endings}
+
+    @property
+    def last_ms(self):
+        """The time of the newest burst."""
+        return max(burst.began_ms for burst in self._bursts)
+
+    @property
+    def is_doubtful(self):
+        """Whether no shard lost several servers, and servers of other shards answered each time."""
+        return not self._points_at_a_shard() and all(burst.is_answered for burst in self._bursts)
+
+    def add(self, ending, at_ms):
+        """Add an :class:`Ending`; return whether it was new."""
+        key = (ending.server, ending.incarnation)
+        known, known_ms = self._known.get(key, (None, -math.inf))
+        if at_ms - known_ms <= CORRELATION_WINDOW_MS:
+            known.others = _lowest({*known.others, *ending.others})
+            return False
+        self._known[key] = (ending, at_ms)
+        burst = self._burst_at(at_ms)
+        burst.endings.append(ending)
+        burst.is_answered = burst.is_answered or ending.is_answered
+        return True
+
+    def add_answer(self, now_ms):
+        """Count an answer; return whether it is the first one beside the newest endings."""
+        self._answers += 1
+        is_first = False
+        for burst in self._bursts:
+            if burst.is_answered or now_ms - burst.began_ms > CORRELATION_WINDOW_MS:
+                continue
+            burst.is_answered = True
+            is_first = True
+        return is_first
+
+    def drop_until(self, until_ms):
+        """Forget the endings up to a time, in milliseconds."""
+        kept = [burst for burst in self._bursts if burst.began_ms > until_ms]
+        if len(kept) == len(self._bursts):
+            return
+        self._bursts = kept
+        self._known = {
+            key: (ending, at_ms) for key, (ending, at_ms) in self._known.items() if at_ms > until_ms
+        }
+
+    def is_convincing(self, is_running=False):
+        """Return whether the request counts as the cause.
+
+        :param is_running: whether other calls of the request have yet to end. Until then, servers
+            that ended together beside other requests count as one.
+        """
+        if self._answers >= ANSWERS_PER_ENDING * len(self):
+            return False
+        if sum(burst.count_alone() for burst in self._bursts) >= CLEAR_ENDINGS_LIMIT:
+            return True
+        if self._points_at_a_shard():
+            return True
+        if is_running:
+            return len(self._bursts) >= ENDINGS_LIMIT
+        return sum(burst.count() for burst in self._bursts) >= ENDINGS_LIMIT
+
+    def _points_at_a_shard(self):
+        for shard in self.shards:
+            if sum(burst.count(shard) for burst in self._bursts) >= CLEAR_ENDINGS_LIMIT:
+                return True
+        return False
+
+    def _burst_at(self, at_ms):
+        for burst in self._bursts:
+            if abs(at_ms - burst.began_ms) <= CORRELATION_WINDOW_MS:
+                return burst
+        burst = Burst(at_ms)
+        self._bursts.append(burst)
+        return burst
+
+
+def abbreviate(fingerprints):
+    """Return the ``others`` of an :class:`Ending` for the fingerprints of other requests."""
+    return _lowest({fingerprint[:OTHER_DIGITS] for fingerprint in fingerprints})
+
+
+def _lowest(names):
+    return sorted(names)[:MAX_OTHERS]
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -3,27 +3,25 @@
 import asyncio
 import hashlib
 import logging
-from contextlib import asynccontextmanager
+import math
+from contextlib import asynccontextmanager, contextmanager
 
 import orjson
 
 from ..decisions import log_decision
 from ..exceptions import Quarantined, Ran
-from ..records import Record
 from ..retry import jittered_ms
+from .evidence import CORRELATION_WINDOW_MS, SUSPECT_MS, Ending, Evidence, abbreviate
 
 log = logging.getLogger("quarantine")
 
-BLAME_LIMIT = 2.0
-# How long a request stays a suspect after the last death.
-SUSPECT_MS = 600_000.0
 # Duration of the first quarantine; each further one is twice as long, up to the maximum.
 QUARANTINE_MS = 120_000.0
 MAX_QUARANTINE_MS = 3_600_000.0
+# The same for a request that servers of other shards have answered each time.
+DOUBTFUL_QUARANTINE_MS = 10_000.0
 # Retry interval after a quarantine on nodes that may not run the request first.
 PROBE_RETRY_MS = 5_000.0
-# Deaths and answers this close together count as simultaneous.
-CORRELATION_WINDOW_MS = 1_000.0
 MAX_FINGERPRINTS = 10_000
 
 
@@ -33,63 +31,40 @@
     return hashlib.blake2b(data, digest_size=12).hexdigest()
 
 
-class Death(Record):
-    """The death of a server of ``shard`` while it ran a request.
-
-    In the relay, ``shard`` is the name of the server's service. ``blame`` is the share of the death
-    attributed to the request, 0 to 1.
-    """
-
-    __slots__ = ("fingerprint", "server", "shard", "blame")
-
-
 class Suspect:
-    """The deaths and quarantines of one request.
+    """What is known about a request under which servers have ended.
 
-    ``canary`` is the lock held by the one call of the request that may run.
+    ``canary`` is the lock held by the one call of the request that may run, ``is_in_trial`` whether
+    the request is on trial. ``is_undecided`` is set while endings may turn out to have another
+    cause.
     """
 
-    __slots__ = ("canary", "deaths", "last_death_ms", "quarantine_count", "quarantined_until_ms")
+    __slots__ = (
+        "canary",
+        "evidence",
+        "is_in_trial",
+        "is_undecided",
+        "quarantine_count",
+        "quarantined_until_ms",
+    )
 
     def __init__(self):
         self.canary = asyncio.Lock()
-        self.deaths = {}
-        self.last_death_ms = None
+        self.evidence = Evidence()
+        self.is_in_trial = False
+        self.is_undecided = False
         self.quarantine_count = 0
         self.quarantined_until_ms = None
 
-    @property
-    def shards(self):
-        """Names of the shards in which a server died."""
-        return {death.shard for death in self.deaths.values()}
-
-    def add(self, death, now_ms):
-        """Add a death; of two deaths of the same server the one with more blame counts."""
-        known = self.deaths.get(death.server)
-        if known is None or known.blame < death.blame:
-            self.deaths[death.server] = death
-        self.last_death_ms = now_ms
-
-    def blame(self, shard=None):
-        """Return the total blame for all deaths, or for those in one shard."""
-        total = 0.0
-        for death in self.deaths.values():
-            if shard is None or death.shard == shard:
-                total += death.blame
-        return total
-
 
 class Quarantine:
     """Refuses requests that crash backend servers.
 
-    When a server dies while it runs ``k`` different requests, each gets ``1/k`` of the blame. A
-    request whose blame reaches ``BLAME_LIMIT`` is refused for ``QUARANTINE_MS``, twice as long each
-    further time, unless another server answered it within ``CORRELATION_WINDOW_MS``: a request that
-    crashes every server gets no answers, while a failing rack leaves other servers that answer.
-    Below the limit the request is a suspect and runs on one server at a time, until a shard that
-    lost a server answers it. A second death in the same shard starts the quarantine in spite of
-    answers. After a quarantine only one node, the first by rendezvous hashing of the request, lets
-    it run again, as a suspect.
+    A request is refused for ``QUARANTINE_MS``, twice as long each further time, as soon as the
+    :class:`~auburnhollow.quarantine.evidence.Evidence` against it is convincing. With less evidence
+    it is a suspect. After a quarantine only one node, the first by rendezvous hashing of the
+    request, lets it run again, on one server: an answer clears the request, and the end of that
+    server starts the next quarantine.
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param events: :class:`~auburnhollow.events.Recorder`.
@@ -97,21 +72,26 @@
     :param may_probe: function of a fingerprint that tells whether this node may run the request
         again after its quarantine.
 
-    The callbacks ``on_death`` and ``on_lifted`` report to peers: they get each :class:`Death` that
-    this node detects and the fingerprint of each quarantine that it lifts.
+    The callbacks report to peers: ``on_ending`` gets each
+    :class:`~auburnhollow.quarantine.evidence.Ending` that this node detects, ``on_answered`` the
+    fingerprint of a request that was answered while servers ended under it, and ``on_cleared`` that
+    of a request that is no longer a suspect.
     """
 
     __slots__ = (
         "_clock",
+        "_cleared_ms",
         "_events",
         "_last_answer_ms",
         "_may_probe",
         "_random",
         "_recent_deaths",
         "_running_calls",
+        "_running_counts",
         "_suspects",
-        "on_death",
-        "on_lifted",
+        "on_answered",
+        "on_cleared",
+        "on_ending",
     )
 
     def __init__(self, clock, events, random, may_probe=None):
@@ -120,11 +100,14 @@
         self._random = random
         self._may_probe = may_probe or (lambda fingerprint: True)
         self._suspects = {}
+        self._cleared_ms = {}
         self._running_calls = {}
+        self._running_counts = {}
         self._last_answer_ms = {}
         self._recent_deaths = {}
-        self.on_death = None
-        self.on_lifted = None
+        self.on_answered = None
+        self.on_cleared = None
+        self.on_ending = None
 
     @property
     def refused(self):
@@ -132,7 +115,7 @@
         now_ms = self._clock.now_ms()
         found = {}
         for fingerprint, suspect in self._suspects.items():
-            if suspect.quarantined_until_ms is not None and now_ms < suspect.quarantined_until_ms:
+            if self._is_refused(suspect):
                 found[fingerprint] = round(suspect.quarantined_until_ms - now_ms)
         return found
 
@@ -145,28 +128,60 @@
         if suspect is None or suspect.quarantined_until_ms is None:
             return
         remaining_ms = suspect.quarantined_until_ms - self._clock.now_ms()
-        if remaining_ms <= 0 and not self._may_probe(fingerprint):
+        if remaining_ms <= 0 and (suspect.is_in_trial or not self._may_probe(fingerprint)):
             remaining_ms = PROBE_RETRY_MS
         if remaining_ms > 0:
-            raise Quarantined(
-                f"{len(suspect.deaths)} backend servers died under requests like this one",
-                ran=ran,
-                retry_after_ms=jittered_ms(self._random, remaining_ms),
-            )
+            raise self.refusal(fingerprint, ran, remaining_ms)
+
+    def refusal(self, fingerprint, ran=Ran.NO, retry_ms=PROBE_RETRY_MS):
+        """Return the :class:`Quarantined` error for a request.
+
+        :param retry_ms: when the caller should retry, in milliseconds, before jitter.
+        """
+        suspect = self._suspects.get(fingerprint)
+        count = 0 if suspect is None else len(suspect.evidence)
+        return Quarantined(
+            f"{count} backend servers died under requests like this one ({fingerprint})",
+            ran=ran,
+            retry_after_ms=jittered_ms(self._random, retry_ms),
+        )
 
     def is_suspect(self, fingerprint):
-        """Return whether the request must run on one server at a time."""
+        """Return whether servers have ended under the request, which has not been cleared."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return False
-        if (
-            suspect.quarantined_until_ms is None
-            and self._clock.now_ms() - suspect.last_death_ms > SUSPECT_MS
-        ):
+        suspect.evidence.drop_until(self._clock.now_ms() - SUSPECT_MS)
+        if len(suspect.evidence) == 0 and not self._is_refused(suspect):
             del self._suspects[fingerprint]
             return False
         return True
 
+    def needs_trial(self, fingerprint):
+        """Return whether the request has been in quarantine and was not cleared since."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and suspect.quarantined_until_ms is not None
+
+    @contextmanager
+    def trial(self, fingerprint):
+        """Run the block as the trial of a request; :meth:`check` refuses it meanwhile.
+
+        The block gets the names of the shards in which servers have ended, and calls :meth:`clear`
+        once a server has answered.
+        """
+        suspect = self._suspects[fingerprint]
+        suspect.is_in_trial = True
+        log_decision(
+            log, "trial after a quarantine", fingerprint=fingerprint, endings=len(suspect.evidence)
+        )
+        try:
+            yield suspect.evidence.shards
+        finally:
+            suspect.is_in_trial = False
+            if not self._is_refused(suspect):
+                # Neither an answer nor an ending: the next trial is due later.
+                suspect.quarantined_until_ms = self._clock.now_ms() + DOUBTFUL_QUARANTINE_MS
+
     @asynccontextmanager
     async def canary(self, fingerprint):
         """Run the block while no other call of the same suspect runs.
@@ -187,6 +202,7 @@
         """Record that a call of the request to the server has started."""
         running = self._running_calls.setdefault(server, {})
         running[fingerprint] = running.get(fingerprint, 0) + 1
+        self._running_counts[fingerprint] = self._running_counts.get(fingerprint, 0) + 1
 
     def record_end(self, server, fingerprint):
         """Record that a call of the request to the server has ended."""
@@ -198,45 +214,74 @@
             del running[fingerprint]
         if not running:
             del self._running_calls[server]
+        self._running_counts[fingerprint] -= 1
+        if self._running_counts[fingerprint] > 0:
+            return
+        del self._running_counts[fingerprint]
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.is_undecided:
+            suspect.is_undecided = False
+            self._reconsider(fingerprint, suspect)
 
-    def record_death(self, server, shard, fingerprint, as_canary=False):
+    def record_death(self, server, shard, fingerprint, as_canary=False, incarnation=0):
         """Record that a server died while it ran the request for this node.
 
-        :param as_canary: whether the request ran alone as a suspect; it then gets all the blame.
+        :param as_canary: whether this node ran the request alone as a suspect.
+        :param incarnation: a value that differs after a restart of the server.
         """
-        requests = self._requests_at_death(server, fingerprint)
-        blame = 1.0 if as_canary else 1.0 / len(requests)
-        death = Death(fingerprint=fingerprint, server=server, shard=shard, blame=blame)
-        self.add_death(death)
+        others = self._requests_at_death(server, fingerprint) - {fingerprint}
+        if not self.needs_trial(fingerprint) and any(self.needs_trial(other) for other in others):
+            # The request that was quarantined before explains it.
+            return
+        answered_ms = self._last_answer_ms.get(fingerprint)
+        now_ms = self._clock.now_ms()
+        ending = Ending(
+            fingerprint=fingerprint,
+            server=server,
+            incarnation=incarnation,
+            shard=shard,
+            others=[] if as_canary else abbreviate(others),
+            is_answered=answered_ms is not None and now_ms - answered_ms <= CORRELATION_WINDOW_MS,
+        )
+        is_new = self.add_ending(ending, now_ms)
+        suspect = self._suspects.get(fingerprint)
         log_decision(
             log,
             "server died under a request",
             fingerprint=fingerprint,
             server=server,
             shard=shard,
-            other_requests=len(requests) - 1,
-            deaths=len(self._suspects[fingerprint].deaths),
-            blame=round(self._suspects[fingerprint].blame(), 2),
+            other_requests=len(others),
+            endings=0 if suspect is None else len(suspect.evidence),
+            is_answered=ending.is_answered,
+            is_refused=suspect is not None and self._is_refused(suspect),
         )
-        if self.on_death is not None:
-            self.on_death(death)
+        if is_new and self.on_ending is not None:
+            self.on_ending(ending)
 
-    def add_death(self, death):
-        """Add a :class:`Death` that this node or a peer detected."""
-        suspect = self._suspects.get(death.fingerprint)
-        if suspect is None or not self.is_suspect(death.fingerprint):
+    def add_ending(self, ending, at_ms):
+        """Add an :class:`Ending` that this node or a peer detected; return whether it was new.
+
+        :param at_ms: when the server ended, on this node's clock.
+        """
+        if at_ms <= self._cleared_ms.get(ending.fingerprint, -math.inf):
+            return False
+        suspect = self._suspects.get(ending.fingerprint)
+        if suspect is None or not self.is_suspect(ending.fingerprint):
             _evict_oldest(self._suspects)
             suspect = Suspect()
-            self._suspects[death.fingerprint] = suspect
-        now_ms = self._clock.now_ms()
-        suspect.add(death, now_ms)
-        if suspect.quarantined_until_ms is not None and now_ms < suspect.quarantined_until_ms:
-            return
-        if self._exceeds_limit(death.fingerprint, suspect, death.shard):
-            self._start_quarantine(death.fingerprint, suspect)
+            self._suspects[ending.fingerprint] = suspect
+        if not suspect.evidence.add(ending, at_ms):
+            return False
+        suspect.is_undecided = bool(ending.others) and ending.fingerprint in self._running_counts
+        self._reconsider(ending.fingerprint, suspect)
+        return True
+
+    def record_answer(self, fingerprint, shard, as_canary=False):
+        """Record that a server of ``shard`` answered the request.
 
-    def record_answer(self, fingerprint, shard):
-        """Record that a server of ``shard`` answered the request."""
+        :param as_canary: whether this node ran the request alone as a suspect.
+        """
         now_ms = self._clock.now_ms()
         self._last_answer_ms.pop(fingerprint, None)
         _evict_oldest(self._last_answer_ms)
@@ -244,61 +289,75 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return
-        is_refused = (
-            suspect.quarantined_until_ms is not None and now_ms < suspect.quarantined_until_ms
-        )
-        if is_refused:
-            self._lift_if_correlated(fingerprint, suspect)
-            return
-        if shard in suspect.shards:
-            del self._suspects[fingerprint]
-            self._events.record("suspect-cleared", fingerprint=fingerprint)
+        if suspect.evidence.add_answer(now_ms):
+            self._lift_if_doubtful(fingerprint, suspect)
+            if self.on_answered is not None:
+                self.on_answered(fingerprint)
+        is_over = suspect.quarantined_until_ms is not None and not self._is_refused(suspect)
+        if (as_canary or is_over) and shard in suspect.evidence.shards:
+            self.clear(fingerprint)
+
+    def clear(self, fingerprint):
+        """Drop the suspicion of a request, which a server has answered in a trial."""
+        now_ms = self._clock.now_ms()
+        self.on_peer_cleared(fingerprint, now_ms)
+        self._events.record("suspect-cleared", fingerprint=fingerprint)
+        if self.on_cleared is not None:
+            self.on_cleared(fingerprint)
 
-    def on_peer_lifted(self, fingerprint):
-        """Lift a quarantine because a peer did."""
-        self._last_answer_ms[fingerprint] = self._clock.now_ms()
+    def on_peer_answered(self, fingerprint):
+        """Record that a peer got an answer to the request while servers ended under it."""
         suspect = self._suspects.get(fingerprint)
-        if suspect is not None and suspect.quarantined_until_ms is not None:
-            self._lift(fingerprint, suspect)
+        if suspect is not None and suspect.evidence.add_answer(self._clock.now_ms()):
+            self._lift_if_doubtful(fingerprint, suspect)
 
-    def _lift_if_correlated(self, fingerprint, suspect):
-        """Lift a quarantine if the last death is recent and no single shard reached the limit."""
-        if self._clock.now_ms() - suspect.last_death_ms > CORRELATION_WINDOW_MS:
+    def on_peer_cleared(self, fingerprint, at_ms):
+        """Drop the endings up to ``at_ms``, when a node has cleared the request."""
+        _evict_oldest(self._cleared_ms)
+        self._cleared_ms[fingerprint] = at_ms
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
             return
-        if any(suspect.blame(shard) >= BLAME_LIMIT for shard in suspect.shards):
+        suspect.evidence.drop_until(at_ms)
+        if len(suspect.evidence) == 0:
+            del self._suspects[fingerprint]
+
+    def _is_refused(self, suspect):
+        until_ms = suspect.quarantined_until_ms
+        return until_ms is not None and self._clock.now_ms() < until_ms
+
+    def _reconsider(self, fingerprint, suspect):
+        """Start a quarantine if the evidence is convincing."""
+        if self._is_refused(suspect):
             return
-        self._lift(fingerprint, suspect)
-        if self.on_lifted is not None:
-            self.on_lifted(fingerprint)
+        if suspect.evidence.is_convincing(is_running=suspect.is_undecided):
+            self._start_quarantine(fingerprint, suspect)
 
-    def _lift(self, fingerprint, suspect):
+    def _lift_if_doubtful(self, fingerprint, suspect):
+        """Lift a quarantine if an answer has made the evidence unconvincing."""
+        if not self._is_refused(suspect) or suspect.evidence.is_convincing():
+            return
         suspect.quarantined_until_ms = None
         suspect.quarantine_count = max(0, suspect.quarantine_count - 1)
         log.info("quarantine: request %s lifted, another server answered it", fingerprint)
         self._events.record("quarantine-lifted", fingerprint=fingerprint)
 
-    def _exceeds_limit(self, fingerprint, suspect, shard):
-        if suspect.blame(shard) >= BLAME_LIMIT:
-            return True
-        if suspect.blame() < BLAME_LIMIT:
-            return False
-        answered_ms = self._last_answer_ms.get(fingerprint)
-        return answered_ms is None or self._clock.now_ms() - answered_ms > CORRELATION_WINDOW_MS
-
     def _start_quarantine(self, fingerprint, suspect):
+        suspect.is_undecided = False
         suspect.quarantine_count += 1
-        duration_ms = min(MAX_QUARANTINE_MS, QUARANTINE_MS * 2 ** (suspect.quarantine_count - 1))
-        suspect.quarantined_until_ms = self._clock.now_ms() + duration_ms
+        first_ms = DOUBTFUL_QUARANTINE_MS if suspect.evidence.is_doubtful else QUARANTINE_MS
+        duration_ms = min(MAX_QUARANTINE_MS, first_ms * 2 ** (suspect.quarantine_count - 1))
+        suspect.quarantined_until_ms = suspect.evidence.last_ms + duration_ms
         log.error(
             "quarantine: request %s killed %d servers, refused for %d ms",
             fingerprint,
-            len(suspect.deaths),
+            len(suspect.evidence),
             duration_ms,
         )
         self._events.record(
             "quarantined",
             fingerprint=fingerprint,
-            servers=sorted(suspect.deaths),
+            servers=suspect.evidence.servers,
             duration_ms=duration_ms,
         )
 
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -58,6 +58,7 @@
         "_subqueries",
         "_subrequests",
         "_times",
+        "_trial",
         "_waiter",
     )
 
@@ -95,6 +96,7 @@
         if not min_answers:
             self._objective_ms = request.limit_ms
         self._waiter = None
+        self._trial = None
 
     @property
     def subrequests(self):
@@ -125,6 +127,8 @@
         try:
             self._quarantine.check(self._fingerprint)
             self._reject_unanswerable()
+            if self._quarantine.needs_trial(self._fingerprint):
+                await self._run_trial()
             self._send_all()
             while not self._is_answered():
                 self._send_hedges()
@@ -145,6 +149,24 @@
                 f" {self._min_answers} are needed"
             )
 
+    async def _run_trial(self):
+        """Send the request to one server, and go on only if that one answers it.
+
+        :raises Quarantined: when the server did not answer.
+        """
+        with self._quarantine.trial(self._fingerprint) as lost_shards:
+            self._trial = _choose_trial(self._subrequests, lost_shards)
+            self.send_first(self._trial)
+            self._trial.hedge_ms = None
+            while not self._trial.is_over and self._clock.now_ms() < self._request.limit_ms:
+                await self._wait()
+            answer = self._trial.answer
+            if answer is not None and answer.is_success:
+                self._quarantine.clear(self._fingerprint)
+        if self._trial.answer is None:
+            ran = Ran.UNKNOWN if self._trial.may_have_run else Ran.NO
+            raise self._quarantine.refusal(self._fingerprint, ran)
+
     def _is_answered(self):
         """Return whether the request is answered, in full or in part.
 
@@ -171,6 +193,8 @@
         self._subqueries.count_request()
         groups = {}
         for subrequest in self._subrequests:
+            if subrequest.sends:
+                continue
             server = self._choose(subrequest)
             if server is None:
                 continue
@@ -244,7 +268,11 @@
             subrequest.calls.remove(call)
             if subrequest.answer is None:
                 self.retry(subrequest)
-            if subrequest.answer is None or self._answer_count >= self._min_answers:
+            if (
+                subrequest.answer is None
+                or subrequest is self._trial
+                or self._answer_count >= self._min_answers
+            ):
                 self.wake()
             self._notify_change()
 
@@ -375,3 +403,11 @@
                 call.task.cancel()
             if not self._is_complete:
                 subrequest.error = None
+
+
+def _choose_trial(subrequests, lost_shards):
+    """Return the subrequest to try first, of a shard that lost a server if there is one."""
+    for subrequest in subrequests:
+        if subrequest.service in lost_shards:
+            return subrequest
+    return subrequests[0]
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -96,7 +96,12 @@
 
     def died(self, call):
         """Report to the quarantine that the server died while it ran the request."""
-        self._quarantine.record_death(call.server.id, call.subrequest.service, self._fingerprint)
+        self._quarantine.record_death(
+            call.server.id,
+            call.subrequest.service,
+            self._fingerprint,
+            incarnation=call.server.started_ms,
+        )
 
     def record_failure(self, call, now_ms, eject_at_once=False):
         """Record a failure of the server, which may be ejected for a while."""
