Count a death whose call was cancelled while the server was probed

Callers saw more servers end under a request than the quarantine knew of. Cause: as soon as too few shards can answer, a fan-out cancels its other calls, and with them the probes that tell a dead server from a cut connection; so do hedges that lose and callers that leave. Of ten servers that a first attempt ended two or three counted.

Ruled out: raising the death instead of the cancellation; a cancelled search of our own interface would go on with its next replica.

--- a/packages/auburnhollow/src/auburnhollow/backends/client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/client.py
@@ -19,7 +19,7 @@
     BackendUnreachable,
 )
 from .messages import OrderCall, ShardCall, read_order_answer, read_shard_answer
-from .probe import Probe, probe
+from .probe import Probe, probe_to_end
 
 CONNECT_TIMEOUT_MS = 1_000
 PROBE_TIMEOUT_MS = 200
@@ -116,11 +116,17 @@
         """Return the error for a lost connection.
 
         A server that accepts a new connection is alive, so only the connection was lost.
+
+        :raises asyncio.CancelledError: if the call is cancelled meanwhile; the error is its cause.
         """
-        probed = await probe(self._clock, server.address, PROBE_TIMEOUT_MS)
+        probed, cancellation = await probe_to_end(self._clock, server.address, PROBE_TIMEOUT_MS)
         if probed in (Probe.ACCEPTED, Probe.FULL):
-            return BackendCut(f"{server.id}: connection lost: {error!r}")
-        return BackendDied(f"{server.id}: died under the request: {error!r}")
+            found = BackendCut(f"{server.id}: connection lost: {error!r}")
+        else:
+            found = BackendDied(f"{server.id}: died under the request: {error!r}")
+        if cancellation is not None:
+            raise cancellation from found
+        return found
 
     def _pool(self, address):
         pool = self._pools.get(address)
--- a/packages/auburnhollow/src/auburnhollow/backends/probe.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/probe.py
@@ -32,3 +32,16 @@
         return Probe.REFUSED
     writer.close()
     return Probe.ACCEPTED
+
+
+async def probe_to_end(clock, address, timeout_ms):
+    """Return the :class:`Probe` of a server, and the cancellation that arrived meanwhile.
+
+    A cancelled caller still learns whether the server is dead. It must raise the
+    :class:`asyncio.CancelledError` that it gets, which is ``None`` if there was none.
+    """
+    probing = asyncio.get_running_loop().create_task(probe(clock, address, timeout_ms))
+    try:
+        return await asyncio.shield(probing), None
+    except asyncio.CancelledError as cancellation:
+        return await probing, cancellation
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from ..clock import MS_PER_SECOND
-from ..exceptions import BackendError, Ran
+from ..exceptions import BackendDied, BackendError, Ran
 from . import call_log, failures
 from .outcomes import OutcomeRecorder
 from .repeats import MIN_CALL_MS, Repeats
@@ -257,8 +257,10 @@
             )
         except BackendError as error:
             self._record_failure(call, error)
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as cancellation:
             self._outcomes.cancelled(call)
+            if isinstance(cancellation.__cause__, BackendDied):
+                self._outcomes.died(call)
             raise
         else:
             self._record_answer(call, answer)
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
@@ -26,10 +26,11 @@
     """Servers that end, with all of their calls, when they begin to run a crashing request.
 
     ``crashes`` lists the times at which servers ended, ``crashing_sends`` the pairs of time and id
-    of the crashing requests that reached a server.
+    of the crashing requests that reached a server. ``probe_ms`` is how long it takes to find out
+    that the server with an id has died.
     """
 
-    __slots__ = ("_calls_by_server", "_down_until_ms", "crashes", "crashing_sends")
+    __slots__ = ("_calls_by_server", "_down_until_ms", "crashes", "crashing_sends", "probe_ms")
 
     def __init__(self, clock, work_ms=20.0):
         super().__init__(clock, work_ms)
@@ -37,6 +38,7 @@
         self._down_until_ms = {}
         self.crashes = []
         self.crashing_sends = []
+        self.probe_ms = {}
 
     async def send(self, server, request, remaining_ms, keep_alive=True, on_write=None):
         """Answer after ``work_ms``, or fail when the server ends before that."""
@@ -56,7 +58,12 @@
             self._end(server, request)
         finally:
             calls.remove(ended)
-        raise BackendDied(f"{server.id}: died")
+        error = BackendDied(f"{server.id}: died")
+        try:
+            await self._clock.sleep(self.probe_ms.get(server.id, 0.0))
+        except asyncio.CancelledError as cancellation:
+            raise cancellation from error
+        raise error
 
     async def can_connect(self, server):
         """Return whether the server runs."""
@@ -151,3 +158,26 @@
     )
     assert servers.count_late_retries() <= MAX_LATE_RETRIES
     assert len(servers.crashes) <= MAX_DEATHS
+
+
+def test_servers_that_die_while_the_fan_out_gives_up_count():
+    services = tuple(f"s{number}" for number in range(10))
+
+    async def scenario():
+        bed = new_bed(services)
+        # Each probe takes longer than the one before; two are over when the fan-out gives up.
+        for number, service in enumerate(services):
+            for replica in range(8):
+                bed.servers.probe_ms[f"{service}-{replica}"] = 5.0 + 5.0 * number
+        load = asyncio.get_running_loop().create_task(
+            send_ordinary_requests(bed, make_route(services), interval_ms=3.0)
+        )
+        await bed.clock.sleep(500)
+        for number in range(2):
+            request = make_request(bed.clock, f"bad-{number}", target=CRASH_PATH)
+            await dispatch(bed, make_route(services, least_share=0.89), request)
+            await bed.clock.sleep(500)
+        load.cancel()
+        return bed.servers
+
+    assert len(run_virtually(scenario()).crashes) <= len(services)
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -51,12 +51,12 @@
     try:
         answer = await components.backends.call(server, call, service.policy.silent_ms)
     except BackendDied:
-        components.ejection.record_failure(server.id)
-        components.metrics.incr("backends.died")
-        components.events.record("server-died", server=server.id, request_id=call.request_id)
-        components.quarantine.record_death(server.id, shard, fingerprint, as_canary)
+        _record_death(components, server, call, shard, fingerprint, as_canary)
         raise
-    except asyncio.CancelledError:
+    except asyncio.CancelledError as cancellation:
+        if isinstance(cancellation.__cause__, BackendDied):
+            _record_death(components, server, call, shard, fingerprint, as_canary)
+            raise
         # Another replica was faster; the time so far is a lower bound of this one's latency.
         lasted_ms = components.clock.now_ms() - started_ms
         components.replicas.observe_cancelled(components.configuration(), server, lasted_ms)
@@ -69,7 +69,7 @@
         components.quarantine.record_end(server.id, fingerprint)
     latency_ms = components.clock.now_ms() - started_ms
     components.ejection.record_success(server.id)
-    components.quarantine.record_answer(fingerprint, shard)
+    components.quarantine.record_answer(fingerprint, shard, as_canary)
     components.leaving.mark_seen(server.id, answer.incarnation)
     load = getattr(answer, "load", None)
     components.replicas.observe(server, latency_ms, load, answer.incarnation)
@@ -79,6 +79,13 @@
     return answer
 
 
+def _record_death(components, server, call, shard, fingerprint, as_canary):
+    components.ejection.record_failure(server.id)
+    components.metrics.incr("backends.died")
+    components.events.record("server-died", server=server.id, request_id=call.request_id)
+    components.quarantine.record_death(server.id, shard, fingerprint, as_canary)
+
+
 def _record_error(components, service, server, error):
     if isinstance(error, EJECTING_ERRORS):
         components.ejection.record_failure(server.id)
