Save the evidence against a quarantined request in the store

Change: a node that has seen one of the endings writes the evidence to the store under a lease of ten minutes when the quarantine begins, and removes it when the request is cleared. The follower's one watch reads it, so nodes make no further calls; evidence that is missing proves nothing, since leases may lapse. Nodes that follow through others have it from gossip. While the store is away the node tries on, every 0.5 to 4 s. Our own interface's node keeps evidence in gossip alone, as before.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -61,7 +61,7 @@
     signals.attach(asyncio.get_running_loop())
     adapter = importlib.import_module(settings.adapter)
     async with adapter.open_platform(settings) as platform:
-        node = RelayNode(settings, platform.feed, platform.client)
+        node = RelayNode(settings, platform.feed, platform.client, evidence_store=platform.evidence)
         signals.on_reload = lambda: reload(node, path)
         front = RelayServer(adapter.build_front(node))
         admin = RelayServer(build_admin(node, adapter.READY_PATH))
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -18,7 +18,7 @@
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
 from auburnhollow.peers import PeerClient, PeerServer
-from auburnhollow.quarantine import Quarantine
+from auburnhollow.quarantine import EvidenceSaver, Quarantine
 from auburnhollow.quarantine.gossip import QuarantineGossip
 from auburnhollow.relay import Dispatcher, DispatchSettings, Merged
 from auburnhollow.relay.aggregators import Aggregators
@@ -49,6 +49,8 @@
     :param settings: :class:`~auburnhollow_node.relay.settings.RelaySettings`.
     :param feed: :class:`~auburnhollow.follow.Feed`.
     :param client: :class:`~auburnhollow.relay.ServerClient`.
+    :param evidence_store: :class:`~auburnhollow.quarantine.EvidenceStore`, or ``None`` to keep the
+        evidence against crashing requests in memory only.
 
     ``count_connections`` is a function that returns the number of open caller connections, or
     ``None``.
@@ -58,6 +60,7 @@
     """
 
     __slots__ = (
+        "_evidence_saver",
         "_in_progress",
         "_lag",
         "_random",
@@ -78,7 +81,7 @@
         "settings",
     )
 
-    def __init__(self, settings, feed, client, clock=None):
+    def __init__(self, settings, feed, client, clock=None, evidence_store=None):
         self.settings = settings
         self.clock = clock or Clock()
         self.is_stopping = False
@@ -120,6 +123,13 @@
             self.dispatcher.forget,
             self.metrics,
         )
+        self.follower.on_evidence = self.quarantine.restore
+        self._evidence_saver = None
+        if evidence_store is not None:
+            self._evidence_saver = EvidenceSaver(
+                self.quarantine, evidence_store, self.clock, self._random
+            )
+            self.quarantine.on_verdict = self._evidence_saver.add
         RevisionGossip(
             self.follower,
             self.fleet.gossiper,
@@ -158,6 +168,8 @@
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.follower.run()))
         self._tasks.append(loop.create_task(self._lag.run()))
+        if self._evidence_saver is not None:
+            self._tasks.append(loop.create_task(self._evidence_saver.run()))
         if peer_socket is None:
             return
         await self.peer_server.start_on(peer_socket)
--- a/packages/auburnhollow/src/auburnhollow/follow/__init__.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/__init__.py
@@ -2,6 +2,7 @@
 
 from .feed import (
     ConfigurationUpdate,
+    EvidenceUpdate,
     Feed,
     HistoryLost,
     ServerRemoval,
@@ -16,6 +17,7 @@
 __all__ = [
     "ChangeServer",
     "ConfigurationUpdate",
+    "EvidenceUpdate",
     "Feed",
     "Follower",
     "HistoryLost",
--- a/packages/auburnhollow/src/auburnhollow/follow/feed.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/feed.py
@@ -32,6 +32,15 @@
     __slots__ = ("id",)
 
 
+class EvidenceUpdate(Record):
+    """Saved evidence that a request crashes servers.
+
+    ``entries`` are those of :meth:`~auburnhollow.quarantine.EvidenceStore.save`.
+    """
+
+    __slots__ = ("fingerprint", "entries")
+
+
 class UnreadableEntry(Record):
     """An entry whose value could not be decoded; ``reason`` is the decoding error."""
 
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -8,7 +8,14 @@
 from ..decisions import log_decision
 from ..exceptions import StoreUnavailable
 from ..metrics import Metrics
-from .feed import ConfigurationUpdate, HistoryLost, ServerRemoval, ServerUpdate, UnreadableEntry
+from .feed import (
+    ConfigurationUpdate,
+    EvidenceUpdate,
+    HistoryLost,
+    ServerRemoval,
+    ServerUpdate,
+    UnreadableEntry,
+)
 from .sharing import ChangeLog
 
 log = logging.getLogger("follow")
@@ -46,6 +53,12 @@
     follower.registry.remove(update.id)
 
 
+@apply_update.register
+def _(update: EvidenceUpdate, follower):
+    if follower.on_evidence is not None:
+        follower.on_evidence(update.fingerprint, update.entries)
+
+
 @apply_update.register
 def _(update: UnreadableEntry, follower):
     log_decision(log, "entry not readable", level=logging.WARNING, **update.to_map())
@@ -69,7 +82,8 @@
     set once the first read has succeeded or failed. ``ask_peers`` is a coroutine function called
     after each failed call to the store, to fetch state from other nodes. ``on_revision`` is a
     callback that receives each newer store revision; it lets other nodes call
-    :meth:`on_peer_revision`.
+    :meth:`on_peer_revision`. ``on_evidence`` is a callback that receives the fingerprint and
+    the entries of each :class:`EvidenceUpdate`.
 
     >>> follower = Follower(feed, registry, clock, random)
     >>> task = asyncio.create_task(follower.run())
@@ -89,6 +103,7 @@
         "ask_peers",
         "change_log",
         "first_read_done",
+        "on_evidence",
         "on_revision",
         "on_routes",
         "registry",
@@ -111,6 +126,7 @@
         self.first_read_done = asyncio.Event()
         self.on_routes = on_routes
         self.on_revision = None
+        self.on_evidence = None
 
     @property
     def routes(self):
@@ -207,7 +223,11 @@
             for update in view.updates:
                 apply_update(update, self)
             self._set_revision(view.revision)
-            self.change_log.add(view.revision, view.updates)
+            # The other nodes learn of evidence by gossip.
+            self.change_log.add(
+                view.revision,
+                [update for update in view.updates if not isinstance(update, EvidenceUpdate)],
+            )
             if view.updates:
                 await self._clock.sleep(BATCH_PAUSE_MS)
             return
--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -104,6 +104,17 @@
         """Whether no shard lost several servers, and servers of other shards answered each time."""
         return not self._points_at_a_shard() and all(burst.is_answered for burst in self._bursts)
 
+    def saved(self):
+        """Return the endings with their age at the newest one, as lists for :func:`restored`."""
+        last_ms = self.last_ms
+        entries = []
+        for burst in self._bursts:
+            for ending in burst.endings:
+                values = ending.to_map()
+                values["is_answered"] = burst.is_answered
+                entries.append([*values.values(), last_ms - burst.began_ms])
+        return entries
+
     def add(self, ending, at_ms):
         """Add an :class:`Ending`; return whether it was new."""
         key = (ending.server, ending.incarnation)
@@ -169,6 +180,18 @@
         return burst
 
 
+def restored(entries, now_ms):
+    """Return pairs of an :class:`Ending` and its time, as if the newest one were just now.
+
+    :param entries: what :meth:`Evidence.saved` has returned.
+    :raises ValueError: when they are something else.
+    """
+    pairs = []
+    for *values, age_ms in entries:
+        pairs.append((Ending.from_list(values), now_ms - age_ms))
+    return pairs
+
+
 def abbreviate(fingerprints):
     """Return the ``others`` of an :class:`Ending` for the fingerprints of other requests."""
     return _lowest({fingerprint[:OTHER_DIGITS] for fingerprint in fingerprints})
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -11,7 +11,7 @@
 from ..decisions import log_decision
 from ..exceptions import Quarantined, Ran
 from ..retry import jittered_ms
-from .evidence import CORRELATION_WINDOW_MS, SUSPECT_MS, Ending, Evidence, abbreviate
+from .evidence import CORRELATION_WINDOW_MS, SUSPECT_MS, Ending, Evidence, abbreviate, restored
 
 log = logging.getLogger("quarantine")
 
@@ -36,7 +36,7 @@
 
     ``canary`` is the lock held by the one call of the request that may run, ``is_in_trial`` whether
     the request is on trial. ``is_undecided`` is set while endings may turn out to have another
-    cause.
+    cause, ``is_witnessed`` if one of them was detected by this node.
     """
 
     __slots__ = (
@@ -44,6 +44,7 @@
         "evidence",
         "is_in_trial",
         "is_undecided",
+        "is_witnessed",
         "quarantine_count",
         "quarantined_until_ms",
     )
@@ -53,6 +54,7 @@
         self.evidence = Evidence()
         self.is_in_trial = False
         self.is_undecided = False
+        self.is_witnessed = False
         self.quarantine_count = 0
         self.quarantined_until_ms = None
 
@@ -74,8 +76,9 @@
 
     The callbacks report to peers: ``on_ending`` gets each
     :class:`~auburnhollow.quarantine.evidence.Ending` that this node detects, ``on_answered`` the
-    fingerprint of a request that was answered while servers ended under it, and ``on_cleared`` that
-    of a request that is no longer a suspect.
+    fingerprint of a request that was answered while servers ended under it, ``on_cleared``
+    that of a request that is no longer a suspect, and ``on_verdict`` that of a request which this
+    node has helped to quarantine or has cleared.
     """
 
     __slots__ = (
@@ -92,6 +95,7 @@
         "on_answered",
         "on_cleared",
         "on_ending",
+        "on_verdict",
     )
 
     def __init__(self, clock, events, random, may_probe=None):
@@ -108,6 +112,7 @@
         self.on_answered = None
         self.on_cleared = None
         self.on_ending = None
+        self.on_verdict = None
 
     @property
     def refused(self):
@@ -243,7 +248,7 @@
             others=[] if as_canary else abbreviate(others),
             is_answered=answered_ms is not None and now_ms - answered_ms <= CORRELATION_WINDOW_MS,
         )
-        is_new = self.add_ending(ending, now_ms)
+        is_new = self.add_ending(ending, now_ms, is_witnessed=True)
         suspect = self._suspects.get(fingerprint)
         log_decision(
             log,
@@ -259,10 +264,26 @@
         if is_new and self.on_ending is not None:
             self.on_ending(ending)
 
-    def add_ending(self, ending, at_ms):
+    def saved(self, fingerprint):
+        """Return the evidence against a request as lists for :meth:`restore`, or ``None``."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect.evidence.saved() if suspect is not None else None
+
+    def restore(self, fingerprint, entries):
+        """Add the evidence against a request that a node has saved.
+
+        :raises ValueError: when ``entries`` are something else.
+        """
+        if self.needs_trial(fingerprint):
+            return
+        for ending, at_ms in restored(entries, self._clock.now_ms()):
+            self.add_ending(ending, at_ms)
+
+    def add_ending(self, ending, at_ms, is_witnessed=False):
         """Add an :class:`Ending` that this node or a peer detected; return whether it was new.
 
         :param at_ms: when the server ended, on this node's clock.
+        :param is_witnessed: whether this node detected it.
         """
         if at_ms <= self._cleared_ms.get(ending.fingerprint, -math.inf):
             return False
@@ -271,6 +292,7 @@
             _evict_oldest(self._suspects)
             suspect = Suspect()
             self._suspects[ending.fingerprint] = suspect
+        suspect.is_witnessed = suspect.is_witnessed or is_witnessed
         if not suspect.evidence.add(ending, at_ms):
             return False
         suspect.is_undecided = bool(ending.others) and ending.fingerprint in self._running_counts
@@ -299,11 +321,13 @@
 
     def clear(self, fingerprint):
         """Drop the suspicion of a request, which a server has answered in a trial."""
-        now_ms = self._clock.now_ms()
-        self.on_peer_cleared(fingerprint, now_ms)
+        was_quarantined = self.needs_trial(fingerprint)
+        self.on_peer_cleared(fingerprint, self._clock.now_ms())
         self._events.record("suspect-cleared", fingerprint=fingerprint)
         if self.on_cleared is not None:
             self.on_cleared(fingerprint)
+        if was_quarantined and self.on_verdict is not None:
+            self.on_verdict(fingerprint)
 
     def on_peer_answered(self, fingerprint):
         """Record that a peer got an answer to the request while servers ended under it."""
@@ -360,6 +384,8 @@
             servers=suspect.evidence.servers,
             duration_ms=duration_ms,
         )
+        if suspect.is_witnessed and self.on_verdict is not None:
+            self.on_verdict(fingerprint)
 
     def _requests_at_death(self, server, fingerprint):
         """Return all requests that ran on the server when it died.
