Keep the gossip task of a leaving node running

A node that leaves publishes its state and pushes it at once. The push clears the due time that the waking gossip task then read, and the task ended with a TypeError: from there on the node, which still serves for seconds, forwarded no evidence against crashing requests.

--- a/packages/auburnhollow/src/auburnhollow/gossip/gossiper.py
+++ b/packages/auburnhollow/src/auburnhollow/gossip/gossiper.py
@@ -91,6 +91,7 @@
             if self._due_ms is None:
                 self._wake.clear()
                 await self._wake.wait()
+                continue
             delay_ms = self._due_ms - self._clock.now_ms()
             if delay_ms > 0:
                 await self._wait(delay_ms)
