Tell a request that crashes servers from servers that end together

Cause: each node judged by what it saw itself. Two requests on two nodes had lost the same three servers, each as the only request of its node; their fan-outs were given up at once, so no answer spoke for them.

Change: servers that ended together count as one if others ended that the request did not run on, as far as this node and its peers know; a quarantine is looked at again when its request comes back, and lifted if later reports explain the deaths. A crashing request gains two attempts at most this way: three bursts are enough whatever else happened. Evidence is saved after half a second, when most such quarantines are lifted again. A request in quarantine explains the deaths of others only if it has more.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -1,5 +1,6 @@
 """Evidence that a request crashes the backend servers that run it."""
 
+import bisect
 import math
 
 from ..records import Record
@@ -31,15 +32,46 @@
     __slots__ = ("fingerprint", "server", "incarnation", "shard", "others", "is_answered")
 
 
+class EndedServers:
+    """The times at which servers ended under any request, known to this node or its peers."""
+
+    __slots__ = ("_last_ms", "_times")
+
+    def __init__(self):
+        self._last_ms = {}
+        self._times = []
+
+    def add(self, ending, at_ms):
+        """Add the server of an :class:`Ending`, once for each time that it ended."""
+        key = (ending.server, ending.incarnation)
+        if at_ms - self._last_ms.get(key, -math.inf) <= CORRELATION_WINDOW_MS:
+            return
+        self._last_ms[key] = at_ms
+        bisect.insort(self._times, at_ms)
+
+    def count(self, at_ms):
+        """Return how many servers ended at about ``at_ms``."""
+        first = bisect.bisect_left(self._times, at_ms - CORRELATION_WINDOW_MS)
+        return bisect.bisect_right(self._times, at_ms + CORRELATION_WINDOW_MS) - first
+
+    def drop_until(self, until_ms):
+        """Forget the servers that ended up to a time, in milliseconds."""
+        del self._times[: bisect.bisect_right(self._times, until_ms)]
+        if len(self._last_ms) > 2 * len(self._times):
+            self._last_ms = {key: at for key, at in self._last_ms.items() if at > until_ms}
+
+
 class Burst:
     """Endings that came about together.
 
     :param began_ms: time of the first one.
+    :param ended: :class:`EndedServers`.
     """
 
-    __slots__ = ("began_ms", "endings", "is_answered")
+    __slots__ = ("_ended", "began_ms", "endings", "is_answered")
 
-    def __init__(self, began_ms):
+    def __init__(self, began_ms, ended):
+        self._ended = ended
         self.began_ms = began_ms
         self.endings = []
         self.is_answered = False
@@ -48,18 +80,23 @@
         """Return how many endings count, of all shards or of one.
 
         Servers that end together may have a common cause such as a failing rack. They count as one
-        if all of them ran another request as well, or if servers of other shards answered.
+        if others ended that did not run the request, if all of them ran another request as well,
+        or if servers of other shards answered.
         """
         endings = [ending for ending in self.endings if shard in (None, ending.shard)]
-        is_explained = self._is_shared() or (shard is None and self.is_answered)
+        is_explained = self._is_shared() or self._is_wider() or (shard is None and self.is_answered)
         return min(1, len(endings)) if is_explained else len(endings)
 
     def count_alone(self):
-        """Return how many servers ran nothing else, 0 if another one answered the request."""
-        if self.is_answered:
+        """Return how many servers ran nothing else, 0 if there is another explanation."""
+        if self.is_answered or self._is_wider():
             return 0
         return sum(1 for ending in self.endings if not ending.others)
 
+    def _is_wider(self):
+        """Return whether servers ended at the same time that did not run the request."""
+        return self._ended.count(self.began_ms) > len(self.endings)
+
     def _is_shared(self):
         """Return whether another request ran on all of these servers."""
         return bool(set.intersection(*[set(ending.others) for ending in self.endings]))
@@ -72,13 +109,16 @@
     once. Single answers do not erase endings.
 
     ``_known`` maps a server's id and incarnation to its last ending and the time of it.
+
+    :param ended: :class:`EndedServers`.
     """
 
-    __slots__ = ("_answers", "_bursts", "_known")
+    __slots__ = ("_answers", "_bursts", "_ended", "_known")
 
-    def __init__(self):
+    def __init__(self, ended):
         self._answers = 0
         self._bursts = []
+        self._ended = ended
         self._known = {}
 
     def __len__(self):
@@ -175,7 +215,7 @@
         for burst in self._bursts:
             if abs(at_ms - burst.began_ms) <= CORRELATION_WINDOW_MS:
                 return burst
-        burst = Burst(at_ms)
+        burst = Burst(at_ms, self._ended)
         self._bursts.append(burst)
         return burst
 
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -11,7 +11,15 @@
 from ..decisions import log_decision
 from ..exceptions import Quarantined, Ran
 from ..retry import jittered_ms
-from .evidence import CORRELATION_WINDOW_MS, SUSPECT_MS, Ending, Evidence, abbreviate, restored
+from .evidence import (
+    CORRELATION_WINDOW_MS,
+    SUSPECT_MS,
+    EndedServers,
+    Ending,
+    Evidence,
+    abbreviate,
+    restored,
+)
 
 log = logging.getLogger("quarantine")
 
@@ -49,9 +57,9 @@
         "quarantined_until_ms",
     )
 
-    def __init__(self):
+    def __init__(self, ended):
         self.canary = asyncio.Lock()
-        self.evidence = Evidence()
+        self.evidence = Evidence(ended)
         self.is_in_trial = False
         self.is_undecided = False
         self.is_witnessed = False
@@ -77,13 +85,14 @@
     The callbacks report to peers: ``on_ending`` gets each
     :class:`~auburnhollow.quarantine.evidence.Ending` that this node detects, ``on_answered`` the
     fingerprint of a request that was answered while servers ended under it, ``on_cleared``
-    that of a request that is no longer a suspect, and ``on_verdict`` that of a request which this
-    node has helped to quarantine or has cleared.
+    that of a request that is no longer a suspect, and ``on_verdict`` that of a request whose
+    quarantine starts, is lifted or is cleared on evidence of this node.
     """
 
     __slots__ = (
         "_clock",
         "_cleared_ms",
+        "_ended",
         "_events",
         "_last_answer_ms",
         "_may_probe",
@@ -105,6 +114,7 @@
         self._may_probe = may_probe or (lambda fingerprint: True)
         self._suspects = {}
         self._cleared_ms = {}
+        self._ended = EndedServers()
         self._running_calls = {}
         self._running_counts = {}
         self._last_answer_ms = {}
@@ -130,7 +140,10 @@
         :param ran: the :class:`Ran` value for the error.
         """
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.quarantined_until_ms is None:
+        if suspect is None:
+            return
+        self._lift_if_doubtful(fingerprint, suspect)
+        if suspect.quarantined_until_ms is None:
             return
         remaining_ms = suspect.quarantined_until_ms - self._clock.now_ms()
         if remaining_ms <= 0 and (suspect.is_in_trial or not self._may_probe(fingerprint)):
@@ -235,8 +248,7 @@
         :param incarnation: a value that differs after a restart of the server.
         """
         others = self._requests_at_death(server, fingerprint) - {fingerprint}
-        if not self.needs_trial(fingerprint) and any(self.needs_trial(other) for other in others):
-            # The request that was quarantined before explains it.
+        if self._is_explained_by(others, fingerprint):
             return
         answered_ms = self._last_answer_ms.get(fingerprint)
         now_ms = self._clock.now_ms()
@@ -265,9 +277,14 @@
             self.on_ending(ending)
 
     def saved(self, fingerprint):
-        """Return the evidence against a request as lists for :meth:`restore`, or ``None``."""
+        """Return the evidence against a quarantined request as lists for :meth:`restore`.
+
+        :returns: ``None`` when the request is not quarantined, or no longer.
+        """
         suspect = self._suspects.get(fingerprint)
-        return suspect.evidence.saved() if suspect is not None else None
+        if suspect is not None:
+            self._lift_if_doubtful(fingerprint, suspect)
+        return suspect.evidence.saved() if self.needs_trial(fingerprint) else None
 
     def restore(self, fingerprint, entries):
         """Add the evidence against a request that a node has saved.
@@ -285,12 +302,14 @@
         :param at_ms: when the server ended, on this node's clock.
         :param is_witnessed: whether this node detected it.
         """
+        self._ended.drop_until(self._clock.now_ms() - SUSPECT_MS)
+        self._ended.add(ending, at_ms)
         if at_ms <= self._cleared_ms.get(ending.fingerprint, -math.inf):
             return False
         suspect = self._suspects.get(ending.fingerprint)
         if suspect is None or not self.is_suspect(ending.fingerprint):
             _evict_oldest(self._suspects)
-            suspect = Suspect()
+            suspect = Suspect(self._ended)
             self._suspects[ending.fingerprint] = suspect
         suspect.is_witnessed = suspect.is_witnessed or is_witnessed
         if not suspect.evidence.add(ending, at_ms):
@@ -321,13 +340,10 @@
 
     def clear(self, fingerprint):
         """Drop the suspicion of a request, which a server has answered in a trial."""
-        was_quarantined = self.needs_trial(fingerprint)
         self.on_peer_cleared(fingerprint, self._clock.now_ms())
         self._events.record("suspect-cleared", fingerprint=fingerprint)
         if self.on_cleared is not None:
             self.on_cleared(fingerprint)
-        if was_quarantined and self.on_verdict is not None:
-            self.on_verdict(fingerprint)
 
     def on_peer_answered(self, fingerprint):
         """Record that a peer got an answer to the request while servers ended under it."""
@@ -345,11 +361,23 @@
         suspect.evidence.drop_until(at_ms)
         if len(suspect.evidence) == 0:
             del self._suspects[fingerprint]
+            self._report_verdict(fingerprint, suspect)
 
     def _is_refused(self, suspect):
         until_ms = suspect.quarantined_until_ms
         return until_ms is not None and self._clock.now_ms() < until_ms
 
+    def _is_explained_by(self, others, fingerprint):
+        """Return whether one of ``others`` is in quarantine and has more endings than a request."""
+        if self.needs_trial(fingerprint):
+            return False
+        suspect = self._suspects.get(fingerprint)
+        count = 0 if suspect is None else len(suspect.evidence)
+        return any(
+            self.needs_trial(other) and len(self._suspects[other].evidence) > count
+            for other in others
+        )
+
     def _reconsider(self, fingerprint, suspect):
         """Start a quarantine if the evidence is convincing."""
         if self._is_refused(suspect):
@@ -358,13 +386,14 @@
             self._start_quarantine(fingerprint, suspect)
 
     def _lift_if_doubtful(self, fingerprint, suspect):
-        """Lift a quarantine if an answer has made the evidence unconvincing."""
+        """Lift a quarantine if later answers or endings have made the evidence unconvincing."""
         if not self._is_refused(suspect) or suspect.evidence.is_convincing():
             return
         suspect.quarantined_until_ms = None
         suspect.quarantine_count = max(0, suspect.quarantine_count - 1)
-        log.info("quarantine: request %s lifted, another server answered it", fingerprint)
+        log.info("quarantine: request %s lifted, the deaths have another cause", fingerprint)
         self._events.record("quarantine-lifted", fingerprint=fingerprint)
+        self._report_verdict(fingerprint, suspect)
 
     def _start_quarantine(self, fingerprint, suspect):
         suspect.is_undecided = False
@@ -384,6 +413,9 @@
             servers=suspect.evidence.servers,
             duration_ms=duration_ms,
         )
+        self._report_verdict(fingerprint, suspect)
+
+    def _report_verdict(self, fingerprint, suspect):
         if suspect.is_witnessed and self.on_verdict is not None:
             self.on_verdict(fingerprint)
 
--- a/packages/auburnhollow/src/auburnhollow/quarantine/saving.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/saving.py
@@ -10,6 +10,8 @@
 
 # Evidence is kept for as long as it counts.
 KEEP_MS = 600_000
+# Most quarantines that later reports lift are lifted by then.
+SAVE_DELAY_MS = 500.0
 RETRY_PAUSE_MS = 500.0
 MAX_RETRY_PAUSE_MS = 4_000.0
 # Bounds the calls of a node that sees many servers end at once.
@@ -34,7 +36,7 @@
 
 
 class EvidenceSaver:
-    """Saves evidence when a quarantine starts and removes it when the request is cleared.
+    """Saves evidence when a quarantine starts and removes it when it is lifted or cleared.
 
     Nodes that are cut off from the others learn of a quarantine this way, and nodes that start
     after all of them have ended.
@@ -45,13 +47,14 @@
     :param random: a :class:`random.Random`.
     """
 
-    __slots__ = ("_clock", "_quarantine", "_random", "_store", "_waiting", "_wake")
+    __slots__ = ("_clock", "_quarantine", "_random", "_saved", "_store", "_waiting", "_wake")
 
     def __init__(self, quarantine, store, clock, random):
         self._quarantine = quarantine
         self._store = store
         self._clock = clock
         self._random = random
+        self._saved = set()
         self._waiting = {}
         self._wake = asyncio.Event()
 
@@ -60,7 +63,7 @@
         if fingerprint not in self._waiting and len(self._waiting) >= MAX_WAITING:
             log_decision(log, "evidence not saved, too much is waiting", fingerprint=fingerprint)
             return
-        self._waiting[fingerprint] = True
+        self._waiting.setdefault(fingerprint, self._clock.now_ms() + SAVE_DELAY_MS)
         self._wake.set()
 
     async def run(self):
@@ -70,21 +73,25 @@
             if not self._waiting:
                 self._wake.clear()
                 await self._wake.wait()
-            fingerprint = next(iter(self._waiting))
+            fingerprint, due_ms = next(iter(self._waiting.items()))
+            await self._clock.sleep(max(0.0, due_ms - self._clock.now_ms()))
             del self._waiting[fingerprint]
             try:
                 await self._save(fingerprint)
                 pause_ms = RETRY_PAUSE_MS
             except StoreError as error:
                 log_decision(log, "evidence not saved", fingerprint=fingerprint, error=str(error))
-                self._waiting[fingerprint] = True
+                self._waiting.setdefault(fingerprint, due_ms)
                 await self._clock.sleep(pause_ms * (0.5 + self._random.random()))
                 pause_ms = min(MAX_RETRY_PAUSE_MS, pause_ms * 2)
 
     async def _save(self, fingerprint):
         entries = self._quarantine.saved(fingerprint)
         if entries is None:
-            await self._store.remove(fingerprint)
+            if fingerprint in self._saved:
+                await self._store.remove(fingerprint)
+                self._saved.discard(fingerprint)
             return
         await self._store.save(fingerprint, entries, KEEP_MS)
+        self._saved.add(fingerprint)
         log_decision(log, "evidence saved", fingerprint=fingerprint, endings=len(entries))
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -68,3 +68,40 @@
         quarantine.record_answer("bad", "shard")
         clock.advance(INTERVAL_MS)
     assert is_refused(quarantine, "bad")
+
+
+def link(*quarantines):
+    """Let each quarantine learn of the endings that the others detect."""
+    for quarantine in quarantines:
+
+        def share(ending, sender=quarantine):
+            for other in quarantines:
+                if other is not sender:
+                    other.add_ending(ending, 0.0)
+
+        quarantine.on_ending = share
+
+
+def test_requests_of_several_nodes_under_which_a_rack_fails_are_not_refused():
+    nodes = [new_quarantine()[1] for _ in range(3)]
+    link(*nodes)
+    # Each request ran on some of the servers, as the only one of its node.
+    servers_by_request = {"r0": "abc", "r1": "abc", "r2": "cde"}
+    for quarantine, (request, servers) in zip(nodes, servers_by_request.items(), strict=True):
+        for server in servers:
+            crash(quarantine, server, f"shard of {server}", request)
+    for quarantine in nodes:
+        for request in servers_by_request:
+            assert not is_refused(quarantine, request)
+
+
+def test_a_crashing_request_is_refused_although_servers_ended_beside_it_the_first_time():
+    clock, quarantine = new_quarantine()
+    crash(quarantine, "x", "shard of x", "r0")
+    attempts = 0
+    while not is_refused(quarantine, "bad") and attempts < MAX_ATTEMPTS:
+        attempts += 1
+        for shard in range(4):
+            crash(quarantine, f"{attempts}.{shard}", f"shard {shard}", f"o{shard}", "bad")
+        clock.advance(INTERVAL_MS)
+    assert attempts <= 2
