Keep the evidence of a quarantined request until it is cleared

A suspect that was quarantined is now forgotten only once it is cleared, or an hour after its quarantine. Answers that peers gossip are dated, so that a node that starts late can tell which endings they speak against, and saved evidence does not bring back a request cleared since. test_a_request_that_ends_its_trial_server_is_refused_however_long_ago_the_others_ended covers six trials. The calls in progress have a module of their own; no behaviour changes by that.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -168,12 +168,12 @@
         burst.is_answered = burst.is_answered or ending.is_answered
         return True
 
-    def add_answer(self, now_ms):
-        """Count an answer; return whether it is the first one beside the newest endings."""
+    def add_answer(self, at_ms):
+        """Count an answer; return whether it is the first one beside some endings."""
         self._answers += 1
         is_first = False
         for burst in self._bursts:
-            if burst.is_answered or now_ms - burst.began_ms > CORRELATION_WINDOW_MS:
+            if burst.is_answered or abs(at_ms - burst.began_ms) > CORRELATION_WINDOW_MS:
                 continue
             burst.is_answered = True
             is_first = True
--- a/packages/auburnhollow/src/auburnhollow/quarantine/gossip.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/gossip.py
@@ -56,7 +56,7 @@
         self._quarantine.add_ending(Ending.from_list(entry.value), self._published_ms(entry))
 
     def _on_answered_entry(self, entry):
-        self._quarantine.on_peer_answered(entry.key)
+        self._quarantine.on_peer_answered(entry.key, self._published_ms(entry))
 
     def _on_cleared_entry(self, entry):
         self._quarantine.on_peer_cleared(entry.key, self._published_ms(entry))
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -20,6 +20,7 @@
     abbreviate,
     restored,
 )
+from .running import RunningCalls
 
 log = logging.getLogger("quarantine")
 
@@ -97,9 +98,7 @@
         "_last_answer_ms",
         "_may_probe",
         "_random",
-        "_recent_deaths",
-        "_running_calls",
-        "_running_counts",
+        "_running",
         "_suspects",
         "on_answered",
         "on_cleared",
@@ -115,10 +114,8 @@
         self._suspects = {}
         self._cleared_ms = {}
         self._ended = EndedServers()
-        self._running_calls = {}
-        self._running_counts = {}
+        self._running = RunningCalls(clock)
         self._last_answer_ms = {}
-        self._recent_deaths = {}
         self.on_answered = None
         self.on_cleared = None
         self.on_ending = None
@@ -139,9 +136,9 @@
 
         :param ran: the :class:`Ran` value for the error.
         """
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None:
+        if not self.is_suspect(fingerprint):
             return
+        suspect = self._suspects[fingerprint]
         self._lift_if_doubtful(fingerprint, suspect)
         if suspect.quarantined_until_ms is None:
             return
@@ -169,11 +166,15 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return False
-        suspect.evidence.drop_until(self._clock.now_ms() - SUSPECT_MS)
-        if len(suspect.evidence) == 0 and not self._is_refused(suspect):
+        now_ms = self._clock.now_ms()
+        if suspect.quarantined_until_ms is None:
+            suspect.evidence.drop_until(now_ms - SUSPECT_MS)
+            is_over = len(suspect.evidence) == 0
+        else:
+            is_over = now_ms > suspect.quarantined_until_ms + MAX_QUARANTINE_MS
+        if is_over:
             del self._suspects[fingerprint]
-            return False
-        return True
+        return not is_over
 
     def needs_trial(self, fingerprint):
         """Return whether the request has been in quarantine and was not cleared since."""
@@ -218,28 +219,16 @@
 
     def record_start(self, server, fingerprint):
         """Record that a call of the request to the server has started."""
-        running = self._running_calls.setdefault(server, {})
-        running[fingerprint] = running.get(fingerprint, 0) + 1
-        self._running_counts[fingerprint] = self._running_counts.get(fingerprint, 0) + 1
+        self._running.start(server, fingerprint)
 
     def record_end(self, server, fingerprint):
         """Record that a call of the request to the server has ended."""
-        running = self._running_calls.get(server)
-        if running is None or fingerprint not in running:
-            return
-        running[fingerprint] -= 1
-        if running[fingerprint] == 0:
-            del running[fingerprint]
-        if not running:
-            del self._running_calls[server]
-        self._running_counts[fingerprint] -= 1
-        if self._running_counts[fingerprint] > 0:
-            return
-        del self._running_counts[fingerprint]
+        self._running.end(server, fingerprint)
         suspect = self._suspects.get(fingerprint)
-        if suspect is not None and suspect.is_undecided:
-            suspect.is_undecided = False
-            self._reconsider(fingerprint, suspect)
+        if suspect is None or not suspect.is_undecided or fingerprint in self._running:
+            return
+        suspect.is_undecided = False
+        self._reconsider(fingerprint, suspect)
 
     def record_death(self, server, shard, fingerprint, as_canary=False, incarnation=0):
         """Record that a server died while it ran the request for this node.
@@ -247,20 +236,18 @@
         :param as_canary: whether this node ran the request alone as a suspect.
         :param incarnation: a value that differs after a restart of the server.
         """
-        others = self._requests_at_death(server, fingerprint) - {fingerprint}
+        others = self._running.at_death(server, fingerprint) - {fingerprint}
         if self._is_explained_by(others, fingerprint):
             return
-        answered_ms = self._last_answer_ms.get(fingerprint)
-        now_ms = self._clock.now_ms()
         ending = Ending(
             fingerprint=fingerprint,
             server=server,
             incarnation=incarnation,
             shard=shard,
             others=[] if as_canary else abbreviate(others),
-            is_answered=answered_ms is not None and now_ms - answered_ms <= CORRELATION_WINDOW_MS,
+            is_answered=False,
         )
-        is_new = self.add_ending(ending, now_ms, is_witnessed=True)
+        is_new = self.add_ending(ending, self._clock.now_ms(), is_witnessed=True)
         suspect = self._suspects.get(fingerprint)
         log_decision(
             log,
@@ -291,9 +278,11 @@
 
         :raises ValueError: when ``entries`` are something else.
         """
-        if self.needs_trial(fingerprint):
+        now_ms = self._clock.now_ms()
+        cleared_ms = self._cleared_ms.get(fingerprint, -math.inf)
+        if self.needs_trial(fingerprint) or now_ms - cleared_ms < SUSPECT_MS:
             return
-        for ending, at_ms in restored(entries, self._clock.now_ms()):
+        for ending, at_ms in restored(entries, now_ms):
             self.add_ending(ending, at_ms)
 
     def add_ending(self, ending, at_ms, is_witnessed=False):
@@ -312,9 +301,12 @@
             suspect = Suspect(self._ended)
             self._suspects[ending.fingerprint] = suspect
         suspect.is_witnessed = suspect.is_witnessed or is_witnessed
+        answered_ms = self._last_answer_ms.get(ending.fingerprint, -math.inf)
+        if abs(at_ms - answered_ms) <= CORRELATION_WINDOW_MS:
+            ending.is_answered = True
         if not suspect.evidence.add(ending, at_ms):
             return False
-        suspect.is_undecided = bool(ending.others) and ending.fingerprint in self._running_counts
+        suspect.is_undecided = bool(ending.others) and ending.fingerprint in self._running
         self._reconsider(ending.fingerprint, suspect)
         return True
 
@@ -323,17 +315,11 @@
 
         :param as_canary: whether this node ran the request alone as a suspect.
         """
-        now_ms = self._clock.now_ms()
-        self._last_answer_ms.pop(fingerprint, None)
-        _evict_oldest(self._last_answer_ms)
-        self._last_answer_ms[fingerprint] = now_ms
+        if self._add_answer(fingerprint, self._clock.now_ms()) and self.on_answered is not None:
+            self.on_answered(fingerprint)
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return
-        if suspect.evidence.add_answer(now_ms):
-            self._lift_if_doubtful(fingerprint, suspect)
-            if self.on_answered is not None:
-                self.on_answered(fingerprint)
         is_over = suspect.quarantined_until_ms is not None and not self._is_refused(suspect)
         if (as_canary or is_over) and shard in suspect.evidence.shards:
             self.clear(fingerprint)
@@ -345,11 +331,9 @@
         if self.on_cleared is not None:
             self.on_cleared(fingerprint)
 
-    def on_peer_answered(self, fingerprint):
+    def on_peer_answered(self, fingerprint, at_ms):
         """Record that a peer got an answer to the request while servers ended under it."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is not None and suspect.evidence.add_answer(self._clock.now_ms()):
-            self._lift_if_doubtful(fingerprint, suspect)
+        self._add_answer(fingerprint, at_ms)
 
     def on_peer_cleared(self, fingerprint, at_ms):
         """Drop the endings up to ``at_ms``, when a node has cleared the request."""
@@ -363,6 +347,17 @@
             del self._suspects[fingerprint]
             self._report_verdict(fingerprint, suspect)
 
+    def _add_answer(self, fingerprint, at_ms):
+        """Count an answer; return whether it is the first one beside endings."""
+        self._last_answer_ms.pop(fingerprint, None)
+        _evict_oldest(self._last_answer_ms)
+        self._last_answer_ms[fingerprint] = at_ms
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.evidence.add_answer(at_ms):
+            return False
+        self._lift_if_doubtful(fingerprint, suspect)
+        return True
+
     def _is_refused(self, suspect):
         until_ms = suspect.quarantined_until_ms
         return until_ms is not None and self._clock.now_ms() < until_ms
@@ -419,30 +414,6 @@
         if suspect.is_witnessed and self.on_verdict is not None:
             self.on_verdict(fingerprint)
 
-    def _requests_at_death(self, server, fingerprint):
-        """Return all requests that ran on the server when it died.
-
-        Their connections end one after another: all of them share the set that is started when the
-        first one ends.
-        """
-        now_ms = self._clock.now_ms()
-        since_ms, requests = self._recent_deaths.get(server, (None, None))
-        if since_ms is None or now_ms - since_ms > CORRELATION_WINDOW_MS:
-            self._recent_deaths = _drop_expired(self._recent_deaths, now_ms)
-            requests = set()
-            self._recent_deaths[server] = (now_ms, requests)
-        requests |= set(self._running_calls.get(server, ()))
-        requests.add(fingerprint)
-        return requests
-
-
-def _drop_expired(deaths, now_ms):
-    fresh = {}
-    for server, (since_ms, requests) in deaths.items():
-        if now_ms - since_ms <= CORRELATION_WINDOW_MS:
-            fresh[server] = (since_ms, requests)
-    return fresh
-
 
 def _evict_oldest(entries):
     while len(entries) >= MAX_FINGERPRINTS:
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -105,3 +105,27 @@
             crash(quarantine, f"{attempts}.{shard}", f"shard {shard}", f"o{shard}", "bad")
         clock.advance(INTERVAL_MS)
     assert attempts <= 2
+
+
+def test_a_request_that_ends_its_trial_server_is_refused_however_long_ago_the_others_ended():
+    clock, quarantine = new_quarantine()
+    crash(quarantine, "a", "shard", "bad")
+    crash(quarantine, "b", "shard", "bad")
+    for number in range(6):
+        clock.advance(max(quarantine.refused.values()) + 1.0)
+        quarantine.check("bad")
+        with quarantine.trial("bad"):
+            assert is_refused(quarantine, "bad")
+            crash(quarantine, f"trial {number}", "shard", "bad")
+        assert is_refused(quarantine, "bad")
+
+
+def test_an_answer_in_a_trial_clears_the_request():
+    clock, quarantine = new_quarantine()
+    crash(quarantine, "a", "shard", "good")
+    crash(quarantine, "b", "shard", "good")
+    clock.advance(max(quarantine.refused.values()) + 1.0)
+    with quarantine.trial("good"):
+        quarantine.clear("good")
+    assert not quarantine.is_suspect("good")
+    assert not is_refused(quarantine, "good")
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -8,7 +8,7 @@
 from .outcomes import OutcomeRecorder
 from .repeats import MIN_CALL_MS, Repeats
 from .subqueries import Subqueries
-from .subrequests import Call, Subrequest
+from .subrequests import Call, Subrequest, choose_trial
 
 # Time reserved for the answer to reach the caller.
 ANSWER_MS = 15.0
@@ -154,7 +154,7 @@
         :raises Quarantined: when the server did not answer.
         """
         with self._quarantine.trial(self._fingerprint) as lost_shards:
-            self._trial = _choose_trial(self._subrequests, lost_shards)
+            self._trial = choose_trial(self._subrequests, lost_shards)
             self.send_first(self._trial)
             self._trial.hedge_ms = None
             while not self._trial.is_over and self._clock.now_ms() < self._request.limit_ms:
@@ -404,11 +404,3 @@
                 call.task.cancel()
             if not self._is_complete:
                 subrequest.error = None
-
-
-def _choose_trial(subrequests, lost_shards):
-    """Return the subrequest to try first, of a shard that lost a server if there is one."""
-    for subrequest in subrequests:
-        if subrequest.service in lost_shards:
-            return subrequest
-    return subrequests[0]
--- a/packages/auburnhollow/src/auburnhollow/relay/subrequests.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subrequests.py
@@ -96,3 +96,11 @@
     def is_over(self):
         """Whether it is answered, or has neither calls nor a subquery in progress."""
         return self.answer is not None or not (self.calls or self.subquery)
+
+
+def choose_trial(subrequests, lost_shards):
+    """Return the subrequest to try first, of a shard that lost a server if there is one."""
+    for subrequest in subrequests:
+        if subrequest.service in lost_shards:
+            return subrequest
+    return subrequests[0]
