Clear a request that its shards go on answering

All callers of the soak send the same request; beside one that crashes replicas it lost servers in three moments within two seconds, and ten answers for each death, of which only the first of each fan-out counted, were not in yet.

Change: every answer of a shard counts, at the shard that gave it. A request is cleared, on all nodes, once each shard that lost servers has answered three times for each of them since. A request that crashes every server that runs it has none, one that crashes a shard has none of that shard. test_a_popular_request_is_not_refused_beside_a_crashing_one and test_a_request_that_crashes_one_of_its_shards_is_refused_although_the_others_answer hold the two apart.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -2,6 +2,7 @@
 
 import bisect
 import math
+from collections import Counter
 
 from ..records import Record
 
@@ -9,8 +10,8 @@
 ENDINGS_LIMIT = 3
 # Fewer are enough if the servers are of one shard, or ran nothing else.
 CLEAR_ENDINGS_LIMIT = 2
-# A request with this many answers for each ending does not crash the servers that run it.
-ANSWERS_PER_ENDING = 10
+# A request with this many answers of a shard for each ending there does not crash its servers.
+ANSWERS_PER_ENDING = 3
 # Endings and answers this close together count as simultaneous.
 CORRELATION_WINDOW_MS = 1_000.0
 # How long an ending counts.
@@ -106,7 +107,7 @@
     """The endings of servers under one request, and its answers since the first of them.
 
     Every ending counts, whatever else ran on the server, and several reports of one ending count
-    once. Single answers do not erase endings.
+    once. Single answers do not erase endings; ``_answers`` counts them by shard.
 
     ``_known`` maps a server's id and incarnation to its last ending and the time of it.
 
@@ -116,7 +117,7 @@
     __slots__ = ("_answers", "_bursts", "_ended", "_known")
 
     def __init__(self, ended):
-        self._answers = 0
+        self._answers = Counter()
         self._bursts = []
         self._ended = ended
         self._known = {}
@@ -168,9 +169,12 @@
         burst.is_answered = burst.is_answered or ending.is_answered
         return True
 
-    def add_answer(self, at_ms):
-        """Count an answer; return whether it is the first one beside some endings."""
-        self._answers += 1
+    def add_answer(self, shard):
+        """Count an answer of a shard."""
+        self._answers[shard] += 1
+
+    def mark_answered(self, at_ms):
+        """Mark the endings at about ``at_ms`` as answered; return whether some were not yet."""
         is_first = False
         for burst in self._bursts:
             if burst.is_answered or abs(at_ms - burst.began_ms) > CORRELATION_WINDOW_MS:
@@ -189,13 +193,20 @@
             key: (ending, at_ms) for key, (ending, at_ms) in self._known.items() if at_ms > until_ms
         }
 
+    def is_refuted(self):
+        """Return whether each shard that lost servers has answered often enough since."""
+        lost = Counter(ending.shard for burst in self._bursts for ending in burst.endings)
+        return all(
+            self._answers[shard] >= ANSWERS_PER_ENDING * count for shard, count in lost.items()
+        )
+
     def is_convincing(self, is_running=False):
         """Return whether the request counts as the cause.
 
         :param is_running: whether other calls of the request have yet to end. Until then, servers
             that ended together beside other requests count as one.
         """
-        if self._answers >= ANSWERS_PER_ENDING * len(self):
+        if self.is_refuted():
             return False
         if sum(burst.count_alone() for burst in self._bursts) >= CLEAR_ENDINGS_LIMIT:
             return True
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -315,17 +315,19 @@
 
         :param as_canary: whether this node ran the request alone as a suspect.
         """
-        if self._add_answer(fingerprint, self._clock.now_ms()) and self.on_answered is not None:
+        if self._mark_answered(fingerprint, self._clock.now_ms()) and self.on_answered is not None:
             self.on_answered(fingerprint)
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return
+        suspect.evidence.add_answer(shard)
         is_over = suspect.quarantined_until_ms is not None and not self._is_refused(suspect)
-        if (as_canary or is_over) and shard in suspect.evidence.shards:
+        is_trial = (as_canary or is_over) and shard in suspect.evidence.shards
+        if is_trial or suspect.evidence.is_refuted():
             self.clear(fingerprint)
 
     def clear(self, fingerprint):
-        """Drop the suspicion of a request, which a server has answered in a trial."""
+        """Drop the suspicion of a request, which servers have answered."""
         self.on_peer_cleared(fingerprint, self._clock.now_ms())
         self._events.record("suspect-cleared", fingerprint=fingerprint)
         if self.on_cleared is not None:
@@ -333,7 +335,7 @@
 
     def on_peer_answered(self, fingerprint, at_ms):
         """Record that a peer got an answer to the request while servers ended under it."""
-        self._add_answer(fingerprint, at_ms)
+        self._mark_answered(fingerprint, at_ms)
 
     def on_peer_cleared(self, fingerprint, at_ms):
         """Drop the endings up to ``at_ms``, when a node has cleared the request."""
@@ -347,13 +349,13 @@
             del self._suspects[fingerprint]
             self._report_verdict(fingerprint, suspect)
 
-    def _add_answer(self, fingerprint, at_ms):
-        """Count an answer; return whether it is the first one beside endings."""
+    def _mark_answered(self, fingerprint, at_ms):
+        """Record the time of an answer; return whether it is the first one beside endings."""
         self._last_answer_ms.pop(fingerprint, None)
         _evict_oldest(self._last_answer_ms)
         self._last_answer_ms[fingerprint] = at_ms
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or not suspect.evidence.add_answer(at_ms):
+        if suspect is None or not suspect.evidence.mark_answered(at_ms):
             return False
         self._lift_if_doubtful(fingerprint, suspect)
         return True
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -129,3 +129,25 @@
         quarantine.clear("good")
     assert not quarantine.is_suspect("good")
     assert not is_refused(quarantine, "good")
+
+
+def test_a_popular_request_is_not_refused_beside_a_crashing_one():
+    clock, quarantine = new_quarantine()
+    for number in range(5):
+        for shard in ("s0", "s1"):
+            crash(quarantine, f"{shard}-{number % 2}", shard, "popular")
+        clock.advance(INTERVAL_MS)
+        for _ in range(3):
+            for shard in ("s0", "s1"):
+                quarantine.record_answer("popular", shard)
+        assert not is_refused(quarantine, "popular")
+
+
+def test_a_request_that_crashes_one_of_its_shards_is_refused_although_the_others_answer():
+    clock, quarantine = new_quarantine()
+    for number in range(2):
+        crash(quarantine, f"s0-{number}", "s0", f"other {number}", "bad")
+        for shard in range(1, 30):
+            quarantine.record_answer("bad", f"s{shard}")
+        clock.advance(INTERVAL_MS)
+    assert is_refused(quarantine, "bad")
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -295,8 +295,7 @@
         """Record a successful answer of a service."""
         subrequest.answer = answer
         self._answer_count += 1
-        if self._answer_count == 1:
-            self._quarantine.record_answer(self._fingerprint, subrequest.service)
+        self._quarantine.record_answer(self._fingerprint, subrequest.service)
 
     def _record_failure(self, call, error):
         self._outcomes.failed(call, error)
