Tell apart the attempts of a caller from servers that end together

Reading the evidence once more: deaths within a second formed one moment, so that of the deaths under a request that its caller repeats every 300 ms, while other servers fail, several counted as one. Servers with a common cause are seen to end within the 60 ms of a probe and some gossip, a caller's attempts are further apart: a moment is 250 ms now. test_a_crashing_request_that_is_repeated_fast_beside_failing_servers_is_refused: 5 attempts with a moment of 1 s, 3 at most with 250 ms.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -12,8 +12,10 @@
 CLEAR_ENDINGS_LIMIT = 2
 # A request with this many answers of a shard for each ending there does not crash its servers.
 ANSWERS_PER_ENDING = 3
-# Endings and answers this close together count as simultaneous.
+# Endings and answers this close together are related, and so are reports of one server's end.
 CORRELATION_WINDOW_MS = 1_000.0
+# Servers that a common cause ends are seen to end within this time, attempts of a caller are not.
+BURST_MS = 250.0
 # How long an ending counts.
 SUSPECT_MS = 600_000.0
 # Bounds the size of an entry. The lowest fingerprints are kept, so that the requests that several
@@ -52,8 +54,8 @@
 
     def count(self, at_ms):
         """Return how many servers ended at about ``at_ms``."""
-        first = bisect.bisect_left(self._times, at_ms - CORRELATION_WINDOW_MS)
-        return bisect.bisect_right(self._times, at_ms + CORRELATION_WINDOW_MS) - first
+        first = bisect.bisect_left(self._times, at_ms - BURST_MS)
+        return bisect.bisect_right(self._times, at_ms + BURST_MS) - first
 
     def drop_until(self, until_ms):
         """Forget the servers that ended up to a time, in milliseconds."""
@@ -224,7 +226,7 @@
 
     def _burst_at(self, at_ms):
         for burst in self._bursts:
-            if abs(at_ms - burst.began_ms) <= CORRELATION_WINDOW_MS:
+            if abs(at_ms - burst.began_ms) <= BURST_MS:
                 return burst
         burst = Burst(at_ms, self._ended)
         self._bursts.append(burst)
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -151,3 +151,14 @@
             quarantine.record_answer("bad", f"s{shard}")
         clock.advance(INTERVAL_MS)
     assert is_refused(quarantine, "bad")
+
+
+def test_a_crashing_request_that_is_repeated_fast_beside_failing_servers_is_refused():
+    clock, quarantine = new_quarantine()
+    attempts = 0
+    while not is_refused(quarantine, "bad") and attempts < MAX_ATTEMPTS:
+        attempts += 1
+        crash(quarantine, f"x{attempts}", f"shard of x{attempts}", f"other {attempts}")
+        crash(quarantine, f"s{attempts}", "shard", f"other {attempts}", "bad")
+        clock.advance(300.0)
+    assert attempts <= MAX_DEATHS
