Save the deaths of a request before one node alone is convinced

Cause: a node wrote its evidence to the store only once it was convinced by itself, so deaths seen by nodes whose links to each other are cut, or that restart in turn, never added up. Class: partial counts kept where the others can't add them. Change: evidence is saved whenever it changes, a quarter of a second later, under a key of each node, so that nodes do not overwrite each other's; not while other servers ended at the same moment, which keeps a wave of failures from writing for every request that it met. A node recognises endings that it knows by server and incarnation, since the time of reading says nothing. Nodes that follow a watcher get evidence through it. Ruled out: saving every ending (a wave of crashed servers would write for each request in flight), and re-gossiping what was read (its time would be that of reading, and an ending would count twice).

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -129,7 +129,7 @@
             self._evidence_saver = EvidenceSaver(
                 self.quarantine, evidence_store, self.clock, self._random
             )
-            self.quarantine.on_verdict = self._evidence_saver.add
+            self.quarantine.on_evidence = self._evidence_saver.add
         RevisionGossip(
             self.follower,
             self.fleet.gossiper,
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -223,11 +223,7 @@
             for update in view.updates:
                 apply_update(update, self)
             self._set_revision(view.revision)
-            # The other nodes learn of evidence by gossip.
-            self.change_log.add(
-                view.revision,
-                [update for update in view.updates if not isinstance(update, EvidenceUpdate)],
-            )
+            self.change_log.add(view.revision, view.updates)
             if view.updates:
                 await self._clock.sleep(BATCH_PAUSE_MS)
             return
--- a/packages/auburnhollow/src/auburnhollow/follow/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/messages.py
@@ -6,7 +6,13 @@
 from ..peers.codec import Message, compress, decompress, register
 from ..routes import Branch, FrontLimits, Route, RouteTable, Service
 from ..servers import Server, ServerState
-from .feed import ConfigurationUpdate, ServerRemoval, ServerUpdate, UnreadableEntry
+from .feed import (
+    ConfigurationUpdate,
+    EvidenceUpdate,
+    ServerRemoval,
+    ServerUpdate,
+    UnreadableEntry,
+)
 
 
 @register("known-ask")
@@ -139,6 +145,11 @@
     return ["gone", update.id]
 
 
+@pack_update.register
+def _(update: EvidenceUpdate):
+    return ["evidence", update.to_list()]
+
+
 @pack_update.register
 def _(update: UnreadableEntry):
     return ["unreadable", [update.key, update.reason]]
@@ -157,6 +168,8 @@
             return ServerUpdate(server=_server_from_list(value))
         if kind == "gone":
             return ServerRemoval(id=value)
+        if kind == "evidence":
+            return EvidenceUpdate.from_list(value)
         return UnreadableEntry.from_list(value)
     except (TypeError, ValueError) as error:
         raise ProtocolError(f"invalid packed update: {error!r}") from error
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
@@ -7,6 +7,7 @@
 from auburnhollow.exceptions import StoreUnavailable
 from auburnhollow.follow import (
     ConfigurationUpdate,
+    EvidenceUpdate,
     Feed,
     Follower,
     HistoryLost,
@@ -241,3 +242,18 @@
         return task.cancelled()
 
     assert run_virtually(run())
+
+
+def test_a_watcher_passes_evidence_on_to_the_nodes_that_follow_it():
+    update = EvidenceUpdate(fingerprint="f1", entries=[])
+
+    async def run():
+        clock = VirtualClock()
+        feed = ScriptedFeed(clock, [configuration(4)], [update])
+        follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await clock.sleep(1_000.0)
+        task.cancel()
+        return follower.change_log.after(1)
+
+    assert update in run_virtually(run())
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_state_exchange.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_state_exchange.py
@@ -7,6 +7,7 @@
 from auburnhollow.exceptions import ProtocolError
 from auburnhollow.follow import (
     ConfigurationUpdate,
+    EvidenceUpdate,
     Follower,
     ServerRemoval,
     ServerUpdate,
@@ -33,6 +34,7 @@
     ServerUpdate(server=make_server("i-1")),
     ServerRemoval(id="i-1"),
     UnreadableEntry(key="k", reason="r"),
+    EvidenceUpdate(fingerprint="f1", entries=[["f1", "i-1", 7, "s0", ["0a"], False, 0.0]]),
 ]
 
 
--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -79,6 +79,10 @@
         self.endings = []
         self.is_answered = False
 
+    def is_wider(self):
+        """Return whether servers ended at the same time that did not run the request."""
+        return self._ended.count(self.began_ms) > len(self.endings)
+
     def count(self, shard=None):
         """Return how many endings count, of all shards or of one.
 
@@ -87,19 +91,15 @@
         or if servers of other shards answered.
         """
         endings = [ending for ending in self.endings if shard in (None, ending.shard)]
-        is_explained = self._is_shared() or self._is_wider() or (shard is None and self.is_answered)
+        is_explained = self._is_shared() or self.is_wider() or (shard is None and self.is_answered)
         return min(1, len(endings)) if is_explained else len(endings)
 
     def count_alone(self):
         """Return how many servers ran nothing else, 0 if there is another explanation."""
-        if self.is_answered or self._is_wider():
+        if self.is_answered or self.is_wider():
             return 0
         return sum(1 for ending in self.endings if not ending.others)
 
-    def _is_wider(self):
-        """Return whether servers ended at the same time that did not run the request."""
-        return self._ended.count(self.began_ms) > len(self.endings)
-
     def _is_shared(self):
         """Return whether another request ran on all of these servers."""
         return bool(set.intersection(*[set(ending.others) for ending in self.endings]))
@@ -147,6 +147,11 @@
         """Whether no shard lost several servers, and servers of other shards answered each time."""
         return not self._points_at_a_shard() and all(burst.is_answered for burst in self._bursts)
 
+    @property
+    def is_widespread(self):
+        """Whether other servers ended as well each time, which points at a common cause."""
+        return all(burst.is_wider() for burst in self._bursts)
+
     def saved(self):
         """Return the endings with their age at the newest one, as lists for :func:`restored`."""
         last_ms = self.last_ms
@@ -171,6 +176,17 @@
         burst.is_answered = burst.is_answered or ending.is_answered
         return True
 
+    def merge(self, ending):
+        """Merge a later report of a known ending; return whether it is known."""
+        key = (ending.server, ending.incarnation)
+        if key not in self._known:
+            return False
+        known, at_ms = self._known[key]
+        known.others = _lowest({*known.others, *ending.others})
+        if ending.is_answered:
+            self.mark_answered(at_ms)
+        return True
+
     def add_answer(self, shard):
         """Count an answer of a shard."""
         self._answers[shard] += 1
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -86,8 +86,8 @@
     The callbacks report to peers: ``on_ending`` gets each
     :class:`~auburnhollow.quarantine.evidence.Ending` that this node detects, ``on_answered`` the
     fingerprint of a request that was answered while servers ended under it, ``on_cleared``
-    that of a request that is no longer a suspect, and ``on_verdict`` that of a request whose
-    quarantine starts, is lifted or is cleared on evidence of this node.
+    that of a request that is no longer a suspect, and ``on_evidence`` that of a request whose
+    evidence has changed, if this node detected part of it.
     """
 
     __slots__ = (
@@ -103,7 +103,7 @@
         "on_answered",
         "on_cleared",
         "on_ending",
-        "on_verdict",
+        "on_evidence",
     )
 
     def __init__(self, clock, events, random, may_probe=None):
@@ -119,7 +119,7 @@
         self.on_answered = None
         self.on_cleared = None
         self.on_ending = None
-        self.on_verdict = None
+        self.on_evidence = None
 
     @property
     def refused(self):
@@ -264,26 +264,39 @@
             self.on_ending(ending)
 
     def saved(self, fingerprint):
-        """Return the evidence against a quarantined request as lists for :meth:`restore`.
+        """Return the evidence against a request as lists for :meth:`restore`.
 
-        :returns: ``None`` when the request is not quarantined, or no longer.
+        :returns: ``None`` when there is none, or when all of it points at a common cause.
         """
-        suspect = self._suspects.get(fingerprint)
-        if suspect is not None:
-            self._lift_if_doubtful(fingerprint, suspect)
-        return suspect.evidence.saved() if self.needs_trial(fingerprint) else None
+        if not self.is_suspect(fingerprint):
+            return None
+        suspect = self._suspects[fingerprint]
+        self._lift_if_doubtful(fingerprint, suspect)
+        if suspect.evidence.is_widespread and not self.needs_trial(fingerprint):
+            return None
+        return suspect.evidence.saved()
 
     def restore(self, fingerprint, entries):
         """Add the evidence against a request that a node has saved.
 
+        Known endings are recognised by server and incarnation alone, since their times are those
+        of reading.
+
         :raises ValueError: when ``entries`` are something else.
         """
         now_ms = self._clock.now_ms()
         cleared_ms = self._cleared_ms.get(fingerprint, -math.inf)
-        if self.needs_trial(fingerprint) or now_ms - cleared_ms < SUSPECT_MS:
+        if now_ms - cleared_ms < SUSPECT_MS:
             return
+        suspect = self._suspects.get(fingerprint)
+        new = []
         for ending, at_ms in restored(entries, now_ms):
+            if suspect is None or not suspect.evidence.merge(ending):
+                new.append((ending, at_ms))
+        for ending, at_ms in new:
             self.add_ending(ending, at_ms)
+        if suspect is not None:
+            self._lift_if_doubtful(fingerprint, suspect)
 
     def add_ending(self, ending, at_ms, is_witnessed=False):
         """Add an :class:`Ending` that this node or a peer detected; return whether it was new.
@@ -308,6 +321,7 @@
             return False
         suspect.is_undecided = bool(ending.others) and ending.fingerprint in self._running
         self._reconsider(ending.fingerprint, suspect)
+        self._report_evidence(ending.fingerprint, suspect)
         return True
 
     def record_answer(self, fingerprint, shard, as_canary=False):
@@ -347,7 +361,7 @@
         suspect.evidence.drop_until(at_ms)
         if len(suspect.evidence) == 0:
             del self._suspects[fingerprint]
-            self._report_verdict(fingerprint, suspect)
+            self._report_evidence(fingerprint, suspect)
 
     def _mark_answered(self, fingerprint, at_ms):
         """Record the time of an answer; return whether it is the first one beside endings."""
@@ -358,6 +372,7 @@
         if suspect is None or not suspect.evidence.mark_answered(at_ms):
             return False
         self._lift_if_doubtful(fingerprint, suspect)
+        self._report_evidence(fingerprint, suspect)
         return True
 
     def _is_refused(self, suspect):
@@ -390,7 +405,7 @@
         suspect.quarantine_count = max(0, suspect.quarantine_count - 1)
         log.info("quarantine: request %s lifted, the deaths have another cause", fingerprint)
         self._events.record("quarantine-lifted", fingerprint=fingerprint)
-        self._report_verdict(fingerprint, suspect)
+        self._report_evidence(fingerprint, suspect)
 
     def _start_quarantine(self, fingerprint, suspect):
         suspect.is_undecided = False
@@ -410,11 +425,11 @@
             servers=suspect.evidence.servers,
             duration_ms=duration_ms,
         )
-        self._report_verdict(fingerprint, suspect)
+        self._report_evidence(fingerprint, suspect)
 
-    def _report_verdict(self, fingerprint, suspect):
-        if suspect.is_witnessed and self.on_verdict is not None:
-            self.on_verdict(fingerprint)
+    def _report_evidence(self, fingerprint, suspect):
+        if suspect.is_witnessed and self.on_evidence is not None:
+            self.on_evidence(fingerprint)
 
 
 def _evict_oldest(entries):
--- a/packages/auburnhollow/src/auburnhollow/quarantine/saving.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/saving.py
@@ -1,4 +1,4 @@
-"""Saves the evidence against quarantined requests outside the nodes' memory."""
+"""Saves the evidence against requests that crash servers outside the nodes' memory."""
 
 import asyncio
 import logging
@@ -10,8 +10,8 @@
 
 # Evidence is kept for as long as it counts.
 KEEP_MS = 600_000
-# Most quarantines that later reports lift are lifted by then.
-SAVE_DELAY_MS = 500.0
+# The other servers that a common cause has ended are known by then.
+SAVE_DELAY_MS = 250.0
 RETRY_PAUSE_MS = 500.0
 MAX_RETRY_PAUSE_MS = 4_000.0
 # Bounds the calls of a node that sees many servers end at once.
@@ -19,7 +19,7 @@
 
 
 class EvidenceStore:
-    """Keeps the evidence against quarantined requests where all nodes read it.
+    """Keeps the evidence of this node against requests where all nodes read it.
 
     Each method may raise :class:`~auburnhollow.exceptions.StoreError`.
     """
@@ -31,15 +31,15 @@
         raise NotImplementedError
 
     async def remove(self, fingerprint):
-        """Remove the evidence against a request that has been cleared."""
+        """Remove this node's evidence against a request that has been cleared."""
         raise NotImplementedError
 
 
 class EvidenceSaver:
-    """Saves evidence when a quarantine starts and removes it when it is lifted or cleared.
+    """Saves evidence whenever it changes and removes it when it is cleared.
 
-    Nodes that are cut off from the others learn of a quarantine this way, and nodes that start
-    after all of them have ended.
+    The deaths that are detected by nodes which are cut off from each other add up this way, and
+    nodes that start after all others have ended learn of them.
 
     :param quarantine: :class:`Quarantine`.
     :param store: :class:`EvidenceStore`.
