Count servers that fall silent under a request as ended by it

Cause: a death was a lost connection followed by a connection refused within 60 ms. A host that goes away closes nothing, and a probe without a result counted as an ordinary cut. Change: a written call that is given up late without an answer, and a lost connection whose probe came to no result, start a check: three connections, and one to a neighbour unless the data centre has answered meanwhile. Overlapping checks of a server share their attempts. Such a death never counts as a clear one, so three separate attempts, or two in one shard, convict. Both interfaces. Ruled out: probing every slow call (connections are priced; paused servers accept them), and a longer first probe (it would delay the retry).

--- a/bench/model.py
+++ b/bench/model.py
@@ -175,6 +175,10 @@
         await self._clock.sleep(one_way_delay_ms)
         return _answer(call, model)
 
+    async def can_connect(self, server):
+        """Return whether the server runs."""
+        return not self._models[server.id].is_dead
+
     def _is_silent(self, model):
         """Return whether the open connections to the server are silent."""
         return model.is_silent
--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -26,7 +26,7 @@
     StoreOutcomeAsk,
 )
 from auburnhollow.peers import PeerServer
-from auburnhollow.quarantine import Quarantine
+from auburnhollow.quarantine import EndChecks, Quarantine
 from auburnhollow.quarantine.gossip import QuarantineGossip
 from auburnhollow.routing import Ejection, ReplicaChoice
 from auburnhollow.scatter import Coordinator
@@ -199,6 +199,7 @@
             backends=backends,
             clock=self.clock,
             ejection=ejection,
+            end_checks=EndChecks(self.clock, backends.can_connect, self._neighbours),
             events=self.events,
             forwarder=Forwarder(
                 settings.data_centre, self.membership, self.peers, self.clock, rng, self.metrics
@@ -260,6 +261,16 @@
         """Return whether this node, ranked first for the request, may run it after a quarantine."""
         return first_ranked(fingerprint, self.membership.present()) == self.settings.id
 
+    def _neighbours(self, server):
+        """Return the other servers in the data centre of a server."""
+        servers = self.configuration_holder.configuration.servers.values()
+        found = []
+        for other in servers:
+            if other.data_centre == server.data_centre and other.id != server.id:
+                found.append(other)
+        self.components.random.shuffle(found)
+        return found
+
     def _forget_removed_servers(self, _stored):
         known = self.configuration_holder.configuration.servers
         self.components.leaving.forget(known)
--- a/packages/auburnhollow/src/auburnhollow/backends/client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/client.py
@@ -19,7 +19,7 @@
     BackendUnreachable,
 )
 from .messages import OrderCall, ShardCall, read_order_answer, read_shard_answer
-from .probe import Probe, probe_to_end
+from .probe import Probe, probe, probe_to_end
 
 CONNECT_TIMEOUT_MS = 1_000
 PROBE_TIMEOUT_MS = 200
@@ -58,6 +58,10 @@
         """
         raise NotImplementedError
 
+    async def can_connect(self, server):
+        """Return whether ``server`` accepts a connection; nothing is sent on it."""
+        raise NotImplementedError
+
 
 class HttpBackendClient(BackendClient):
     """Calls backend servers, with one connection pool for each server.
@@ -98,6 +102,11 @@
             raise await self._connection_lost_error(server, error) from error
         return _read(server, call, status, data)
 
+    async def can_connect(self, server):
+        """Return whether ``server`` is reachable, by opening a connection without sending."""
+        result = await probe(self._clock, server.address, CONNECT_TIMEOUT_MS)
+        return result in (Probe.ACCEPTED, Probe.FULL)
+
     async def _exchange(self, pool, server, path, body, silent_ms):
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000, sock_read=silent_ms / 1000
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -166,6 +166,10 @@
     """The connection was lost during the request."""
 
 
+class BackendLost(BackendCut):
+    """The connection was lost, and it is not known yet whether the server accepts a new one."""
+
+
 class BackendTimeout(BackendError):
     """No answer came in time."""
 
--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -22,6 +22,9 @@
 # servers have in common are found.
 MAX_OTHERS = 4
 OTHER_DIGITS = 8
+# Stands among the ``others`` of a server whose end was concluded from its silence, because a host
+# may have gone away for any reason. It sorts before all fingerprints.
+SILENCE = "-silence"
 
 
 class Ending(Record):
@@ -29,7 +32,8 @@
 
     In the relay, ``shard`` is the name of the server's service. ``incarnation`` tells two lives of
     a server with the same id apart. ``others`` are abbreviated fingerprints of other requests that
-    ran on the server. ``is_answered`` is set if another server had just answered the request.
+    ran on the server, and ``SILENCE``. ``is_answered`` is set if another server had just answered
+    the request.
     """
 
     __slots__ = ("fingerprint", "server", "incarnation", "shard", "others", "is_answered")
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -13,6 +13,7 @@
 from ..retry import jittered_ms
 from .evidence import (
     CORRELATION_WINDOW_MS,
+    SILENCE,
     SUSPECT_MS,
     EndedServers,
     Ending,
@@ -230,13 +231,19 @@
         suspect.is_undecided = False
         self._reconsider(fingerprint, suspect)
 
-    def record_death(self, server, shard, fingerprint, as_canary=False, incarnation=0):
+    def record_death(
+        self, server, shard, fingerprint, as_canary=False, incarnation=0, is_silent=False
+    ):
         """Record that a server died while it ran the request for this node.
 
         :param as_canary: whether this node ran the request alone as a suspect.
         :param incarnation: a value that differs after a restart of the server.
+        :param is_silent: whether its end was concluded from its silence.
         """
         others = self._running.at_death(server, fingerprint) - {fingerprint}
+        causes = set() if as_canary else set(others)
+        if is_silent:
+            causes.add(SILENCE)
         if self._is_explained_by(others, fingerprint):
             return
         ending = Ending(
@@ -244,7 +251,7 @@
             server=server,
             incarnation=incarnation,
             shard=shard,
-            others=[] if as_canary else abbreviate(others),
+            others=abbreviate(causes),
             is_answered=False,
         )
         is_new = self.add_ending(ending, self._clock.now_ms(), is_witnessed=True)
@@ -258,6 +265,7 @@
             other_requests=len(others),
             endings=0 if suspect is None else len(suspect.evidence),
             is_answered=ending.is_answered,
+            is_silent=is_silent,
             is_refused=suspect is not None and self._is_refused(suspect),
         )
         if is_new and self.on_ending is not None:
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_quarantine.py
@@ -143,6 +143,23 @@
     run_virtually(run())
 
 
+@pytest.mark.parametrize("shards", [1, 4])
+def test_a_request_under_which_servers_fall_silent_is_refused(shards):
+    async def run():
+        document = make_document(shards=shards, replicas=12)
+        async with virtual_fleet(document, nodes=7) as fleet:
+            await fleet.clock.sleep(2_000)
+            load = asyncio.create_task(send_ordinary_queries(fleet))
+            for server in fleet.servers.values():
+                server.crash_step = "vanish"
+            await crash_for_a_minute(fleet, shards)
+            load.cancel()
+            return sum(server.has_vanished for server in fleet.servers.values())
+
+    # Three attempts, each with a call and a hedge in every shard.
+    assert run_virtually(run()) <= 6 * shards
+
+
 def test_a_crashing_check_kills_two_servers_at_most():
     async def run():
         async with virtual_fleet(make_document(shards=1, replicas=10), nodes=7) as fleet:
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatches requests to backend servers, with budgets for retries and hedges."""
 
 from ..exceptions import Ran, Unavailable
+from ..quarantine import EndChecks
 from ..records import Record
 from ..retry import jittered_ms
 from ..retry.window import Slack, WindowBudget
@@ -52,6 +53,7 @@
         "choice",
         "client",
         "clock",
+        "end_checks",
         "metrics",
         "quarantine",
         "readmission",
@@ -85,6 +87,7 @@
         self._budgets = {}
         self._times = {}
         self.readmission = Readmission(client, registry, choice, clock)
+        self.end_checks = EndChecks(clock, self._can_connect, self._neighbours)
 
     async def forward(self, request, route, service):
         """Send a request to one server of ``service`` and return its :class:`Answer`.
@@ -174,6 +177,20 @@
         self.choice.set_connection_limits(table.services)
         self.choice.forget(self.registry.servers)
 
+    async def _can_connect(self, server):
+        return await self.client.can_connect(server)
+
+    def _neighbours(self, server):
+        """Return the other servers in the data centre of a server that are not known as down."""
+        found = []
+        for other in self.registry.servers:
+            if other.data_centre != server.data_centre or other.id == server.id:
+                continue
+            if not self.choice.view(other).is_down:
+                found.append(other)
+        self._random.shuffle(found)
+        return found
+
     def _new_slack(self):
         return Slack(
             self.clock,
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from ..clock import MS_PER_SECOND
-from ..exceptions import BackendDied, BackendError, Ran
+from ..exceptions import BackendDied, BackendError, BackendLost, Ran
 from . import call_log, failures
 from .outcomes import OutcomeRecorder
 from .repeats import MIN_CALL_MS, Repeats
@@ -261,6 +261,8 @@
             self._outcomes.cancelled(call)
             if isinstance(cancellation.__cause__, BackendDied):
                 self._outcomes.died(call)
+            elif isinstance(cancellation.__cause__, BackendLost) or self._is_unanswered(call):
+                self._outcomes.unanswered(call)
             raise
         else:
             self._record_answer(call, answer)
@@ -277,6 +279,11 @@
                 self.wake()
             self._notify_change()
 
+    def _is_unanswered(self, call):
+        """Return whether a call that was cancelled is late, and its service has not answered."""
+        is_late = self._clock.now_ms() >= call.late_ms
+        return call.is_written and call.subrequest.answer is None and is_late
+
     def _record_answer(self, call, answer):
         self._outcomes.answered(call, answer)
         subrequest = call.subrequest
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -8,6 +8,7 @@
     BackendDied,
     BackendError,
     BackendFull,
+    BackendLost,
     BackendRefused,
     BackendReplaced,
     BackendUnreachable,
@@ -29,6 +30,7 @@
     __slots__ = (
         "_choice",
         "_clock",
+        "_end_checks",
         "_fingerprint",
         "_metrics",
         "_quarantine",
@@ -41,6 +43,7 @@
     def __init__(self, dispatcher, request, times, fingerprint):
         self._choice = dispatcher.choice
         self._clock = dispatcher.clock
+        self._end_checks = dispatcher.end_checks
         self._metrics = dispatcher.metrics
         self._quarantine = dispatcher.quarantine
         self._readmission = dispatcher.readmission
@@ -60,6 +63,7 @@
             self._metrics.incr("relay.calls_fault")
             self.record_failure(call, now_ms)
             return
+        self._end_checks.record_answer(call.server)
         self._metrics.incr("relay.calls_answered")
         self._metrics.timing("relay.call_ms", now_ms - call.began_ms)
         work_ms = now_ms - call.began_ms - self._choice.round_trip_ms(call.server)
@@ -94,15 +98,27 @@
         """Avoid a server that accepted no connection until it accepts one."""
         self._readmission.watch(call.server)
 
-    def died(self, call):
-        """Report to the quarantine that the server died while it ran the request."""
+    def unanswered(self, call):
+        """Check whether the server that left a call unanswered has ended without a sign."""
+        self._end_checks.check(call.server, lambda: self._fell_silent(call))
+
+    def died(self, call, is_silent=False):
+        """Report to the quarantine that the server died while it ran the request.
+
+        :param is_silent: whether its end was concluded from its silence.
+        """
         self._quarantine.record_death(
             call.server.id,
             call.subrequest.service,
             self._fingerprint,
             incarnation=call.server.started_ms,
+            is_silent=is_silent,
         )
 
+    def _fell_silent(self, call):
+        self.died(call, is_silent=True)
+        self.unreachable(call)
+
     def record_failure(self, call, now_ms, eject_at_once=False):
         """Record a failure of the server, which may be ejected for a while."""
         duration_ms = self.view(call).failed(call, now_ms, eject_at_once)
@@ -140,6 +156,12 @@
     outcomes.record_failure(call, now_ms)
 
 
+@record_error.register
+def _(_error: BackendLost, call, outcomes, now_ms):
+    outcomes.record_failure(call, now_ms)
+    outcomes.unanswered(call)
+
+
 @record_error.register
 def _(_error: BackendReplaced, call, outcomes, now_ms):
     outcomes.view(call).cancelled(call, 0.0, now_ms)
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -16,6 +16,8 @@
 
 EJECTING_ERRORS = (BackendUnreachable, BackendDied, BackendCut, BackendSilent, BackendMismatch)
 TIMEOUT_LATENCY_MS = 1_000.0
+# A cancelled call that took this many times the typical latency of its server counts as unanswered.
+UNANSWERED_FACTOR = 3.0
 
 
 async def next_server(components, service, servers, tried, request_class):
@@ -59,15 +61,22 @@
             raise
         # Another replica was faster; the time so far is a lower bound of this one's latency.
         lasted_ms = components.clock.now_ms() - started_ms
-        components.replicas.observe_cancelled(components.configuration(), server, lasted_ms)
+        configuration = components.configuration()
+        components.replicas.observe_cancelled(configuration, server, lasted_ms)
+        typical_ms = components.replicas.typical_ms(configuration, server)
+        if lasted_ms >= UNANSWERED_FACTOR * typical_ms:
+            _check_end(components, server, call, shard, fingerprint, as_canary)
         raise
     except BackendError as error:
         _record_error(components, service, server, error)
+        if isinstance(error, BackendTimeout | BackendSilent):
+            _check_end(components, server, call, shard, fingerprint, as_canary)
         raise
     finally:
         components.shares.leave(server)
         components.quarantine.record_end(server.id, fingerprint)
     latency_ms = components.clock.now_ms() - started_ms
+    components.end_checks.record_answer(server)
     components.ejection.record_success(server.id)
     components.quarantine.record_answer(fingerprint, shard, as_canary)
     components.leaving.mark_seen(server.id, answer.incarnation)
@@ -79,11 +88,22 @@
     return answer
 
 
-def _record_death(components, server, call, shard, fingerprint, as_canary):
+def _record_death(components, server, call, shard, fingerprint, as_canary, is_silent=False):
     components.ejection.record_failure(server.id)
     components.metrics.incr("backends.died")
     components.events.record("server-died", server=server.id, request_id=call.request_id)
-    components.quarantine.record_death(server.id, shard, fingerprint, as_canary)
+    components.quarantine.record_death(
+        server.id, shard, fingerprint, as_canary, is_silent=is_silent
+    )
+
+
+def _check_end(components, server, call, shard, fingerprint, as_canary):
+    """Check whether the server that left a call unanswered has ended without a sign."""
+
+    def on_ended():
+        _record_death(components, server, call, shard, fingerprint, as_canary, is_silent=True)
+
+    components.end_checks.check(server, on_ended)
 
 
 def _record_error(components, service, server, error):
--- a/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
@@ -33,6 +33,7 @@
         "backends",
         "clock",
         "ejection",
+        "end_checks",
         "events",
         "forwarder",
         "limiter",
--- a/standins/src/auburnhollow_standins/fake_backends.py
+++ b/standins/src/auburnhollow_standins/fake_backends.py
@@ -24,14 +24,17 @@
 
     ``script`` is a queue of names of :data:`STEPS`, one for each call; ``default_step`` applies
     when it is empty. ``ran`` lists the calls that it ran, ``fully_answered`` those of them that it
-    answered in full. Calls whose text is ``crash_mark`` kill it, after
-    ``crash_after_ms`` if that is set, else after ``latency_ms``.
+    answered in full. Calls whose text is ``crash_mark`` kill it by the step ``crash_step``, after
+    ``crash_after_ms`` if that is set, else after ``latency_ms``. Once it ``has_vanished``, calls
+    stay unanswered and it accepts no connection.
     """
 
     __slots__ = (
         "default_step",
         "crash_after_ms",
         "crash_mark",
+        "crash_step",
+        "has_vanished",
         "id",
         "incarnation",
         "is_dead",
@@ -55,6 +58,8 @@
         self.is_dead = False
         self.crash_after_ms = None
         self.crash_mark = None
+        self.crash_step = "die"
+        self.has_vanished = False
         self.ran = []
         self.fully_answered = []
         self.orders = []
@@ -169,6 +174,13 @@
     raise BackendDied(server.id)
 
 
+async def _vanish(server, call, clock):
+    server.run(call)
+    server.has_vanished = True
+    await clock.sleep(call.deadline_ms)
+    raise BackendTimeout(server.id)
+
+
 STEPS = {
     "answer": _answer,
     "partial": _partial,
@@ -185,6 +197,7 @@
     "mismatch": _mismatch,
     "fault": _fault,
     "die": _die,
+    "vanish": _vanish,
 }
 
 # Steps whose error proves that the call did not run.
@@ -215,12 +228,12 @@
         """Perform the server's next step; see :meth:`~auburnhollow.backends.BackendClient.call`."""
         await self._pausable.wait_until_resumed()
         fake = self._servers[server.id]
-        if fake.is_dead:
+        if fake.is_dead or fake.has_vanished:
             raise BackendUnreachable(server.id)
         name = fake.script.popleft() if fake.script else fake.default_step
         payload = call.order if isinstance(call, OrderCall) else call.query
         if fake.crash_mark is not None and payload.get("text") == fake.crash_mark:
-            name = "die"
+            name = fake.crash_step
         if not isinstance(call, OrderCall) and call.version not in fake.versions:
             name = "lacks-version"
         try:
@@ -230,3 +243,9 @@
             raise BackendTimeout(server.id) from None
         await self._pausable.wait_until_resumed()
         return answer
+
+    async def can_connect(self, server):
+        """Return whether the server runs and this node is not paused."""
+        await self._pausable.wait_until_resumed()
+        fake = self._servers[server.id]
+        return not (fake.is_dead or fake.has_vanished)
