Keep all nodes together to the rates that servers name

Cause: nothing read the word. Class: a fact that a server states of itself, for all nodes together, which each node would have to obey by its share. ServerRates holds the newest word of each incarnation by the start of the call that it answered and this node's turns: evenly spaced, begun at a random time, lapsing after half a second, so that idle nodes save up nothing. Every send takes its turn in FanOut._send, in the step of the choice: first sends, retries, hedges, trials, orders, subqueries of others. A wait is part of a server's cost; one that would miss the objective rules the server out. If too few shards can be called, the request is rejected before anything is sent, with a time to come back. Budgets are not spent on sends that do not happen. What waits is withheld if the server leaves, the shard has answered or the request is quarantined meanwhile. RateShares divides a rate: most of it to the nodes of the server's data centre, there mostly to its aggregators. Nodes gossip the start, the end and changes of over a quarter. The product's own interface has the field rate_per_s and the same gate. Ruled out: equal shares of all nodes (two thirds unused, as calls stay in a data centre), a few holders by rank (a partition has two sets), a saved burst of one request a node (65 nodes break a rate of 2 by that alone).

--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -13,7 +13,9 @@
 from auburnhollow.events import Recorder
 from auburnhollow.exceptions import PeerError, StoreError
 from auburnhollow.hashing import first_ranked
-from auburnhollow.limits import AdmissionLimiter, Shares
+from auburnhollow.limits import AdmissionLimiter, ServerRates, Shares
+from auburnhollow.limits.rate_gossip import RateGossip
+from auburnhollow.limits.server_rates import EvenShare
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
 from auburnhollow.once import (
@@ -29,6 +31,7 @@
 from auburnhollow.quarantine import EndChecks, Quarantine
 from auburnhollow.quarantine.gossip import QuarantineGossip
 from auburnhollow.routing import Ejection, ReplicaChoice
+from auburnhollow.routing.replicas import rate_key
 from auburnhollow.scatter import Coordinator
 from auburnhollow.scatter.coordinator import Components
 from auburnhollow.scatter.forward import Forwarder, RegionAsk
@@ -77,6 +80,7 @@
         "orders",
         "peer_server",
         "peers",
+        "rates",
         "settings",
         "started_ms",
         "store",
@@ -195,6 +199,8 @@
         shares = Shares(settings.id, self.membership.present)
         ejection = Ejection(self.clock, self.events)
         leaving = LeavingServers(self.events)
+        share = EvenShare(self.membership.present)
+        self.rates = ServerRates(self.clock, rng, share.fraction)
         self.components = Components(
             backends=backends,
             clock=self.clock,
@@ -211,7 +217,7 @@
             quarantine=Quarantine(self.clock, self.events, rng, may_probe=self._may_probe),
             random=rng,
             replicas=ReplicaChoice(
-                settings.data_centre, self.clock, rng, shares, ejection, leaving
+                settings.data_centre, self.clock, rng, shares, ejection, leaving, self.rates
             ),
             shares=shares,
             snapshots=SnapshotChooser(self.clock),
@@ -225,6 +231,7 @@
         self.orders = Orders(self.components, self.claimer, self.attempts, settings.claim_window_ms)
 
     def _wire_gossip(self, rng):
+        RateGossip(self.rates, self.gossiper, self.table, self.clock)
         self.configuration_sync = ConfigurationSync(
             self.configuration_holder,
             self.store,
@@ -275,3 +282,4 @@
         known = self.configuration_holder.configuration.servers
         self.components.leaving.forget(known)
         self.components.replicas.forget(known)
+        self.rates.forget({rate_key(server) for server in known.values()})
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -15,6 +15,8 @@
 from auburnhollow.follow.revision_gossip import RevisionGossip
 from auburnhollow.follow.sharing import MAX_DIRECT_NODES
 from auburnhollow.hashing import first_ranked
+from auburnhollow.limits import ServerRates
+from auburnhollow.limits.rate_gossip import RateGossip
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
 from auburnhollow.peers import PeerClient, PeerServer
@@ -24,6 +26,7 @@
 from auburnhollow.relay.aggregators import Aggregators
 from auburnhollow.relay.choice import ServerChoice
 from auburnhollow.relay.fanout import ANSWER_MS
+from auburnhollow.relay.rate_shares import RateShares
 from auburnhollow.relay.subquery_messages import SubqueryAsk, SubqueryRepeats
 from auburnhollow.relay.subquery_server import SubqueryServer
 from auburnhollow.retry import jittered_ms
@@ -64,6 +67,7 @@
         "_in_progress",
         "_lag",
         "_random",
+        "_rate_shares",
         "_subqueries",
         "_tasks",
         "clock",
@@ -77,6 +81,7 @@
         "peer_server",
         "peers",
         "quarantine",
+        "rates",
         "registry",
         "settings",
     )
@@ -93,6 +98,10 @@
         self.count_connections = None
         self.registry = ServerRegistry(self.clock)
         self._wire_fleet()
+        aggregators = Aggregators(self.peers, self.fleet.membership, self.clock)
+        self._rate_shares = RateShares(self.fleet.membership, aggregators, self.registry)
+        self.rates = ServerRates(self.clock, self._random, self._rate_shares.fraction)
+        RateGossip(self.rates, self.fleet.gossiper, self.fleet.table, self.clock)
         self.dispatcher = Dispatcher(
             client,
             self.registry,
@@ -102,6 +111,7 @@
                 self.clock,
                 self._random,
                 self._count_calling_nodes,
+                self.rates,
             ),
             self.clock,
             self._random,
@@ -109,7 +119,7 @@
             self.quarantine,
             self._dispatch_settings(),
             self._count_nodes,
-            Aggregators(self.peers, self.fleet.membership, self.clock),
+            aggregators,
         )
         self._subqueries = SubqueryServer(self.dispatcher, lambda: self.is_ready)
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
@@ -120,7 +130,7 @@
             self.registry,
             self.clock,
             self._random,
-            self.dispatcher.forget,
+            self._apply_routes,
             self.metrics,
         )
         self.follower.on_evidence = self.quarantine.restore
@@ -237,10 +247,15 @@
             "node.nodes_present": self._count_nodes(),
             "node.connections": self.count_connections() if self.count_connections else None,
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
+            "relay.servers_limited": len(self.rates),
             "relay.repeats_left": self.dispatcher.least_budget_left(),
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         }
 
+    def _apply_routes(self, table):
+        self._rate_shares.set_routes(table)
+        self.dispatcher.forget(table)
+
     def _dispatch_settings(self):
         settings = self.settings
         return DispatchSettings(
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
@@ -118,6 +118,8 @@
         "speed": round(view.slowdown(now_ms), 2),
         "failing_share": round(view.failing_share(now_ms), 2),
         "late_ms": round(view.lateness_ms(now_ms)),
+        "named_rate_per_s": node.rates.rate_per_s(server.incarnation),
+        "turn_in_ms": round(node.rates.wait_ms(server.incarnation)),
         "passed_over": view.is_ejected(now_ms),
     }
 
--- a/packages/auburnhollow/src/auburnhollow/backends/client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/client.py
@@ -18,7 +18,7 @@
     BackendTimeout,
     BackendUnreachable,
 )
-from .messages import OrderCall, ShardCall, read_order_answer, read_shard_answer
+from .messages import OrderCall, ShardCall, read_notice, read_order_answer, read_shard_answer
 from .probe import Probe, probe, probe_to_end
 
 CONNECT_TIMEOUT_MS = 1_000
@@ -174,6 +174,7 @@
             reason,
             retry_after_ms=body.get("retry_after_ms"),
             incarnation=body.get("incarnation"),
+            notice=read_notice(server.id, body.get("rate_per_s")),
         )
     if status == 409 and body.get("request_id") == call.request_id:
         raise BackendLacksVersion(f"{server.id}: lacks the version", body.get("held", ()))
--- a/packages/auburnhollow/src/auburnhollow/backends/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/messages.py
@@ -1,8 +1,15 @@
 """Calls to backend servers and their answers."""
 
+import logging
+import math
+
+from ..decisions import log_decision
 from ..exceptions import BackendMismatch
+from ..limits.server_rates import Notice
 from ..records import Record
 
+log = logging.getLogger("backends")
+
 
 class ShardCall(Record):
     """One attempt to query one shard of one index version.
@@ -17,10 +24,23 @@
     """The rows of a shard.
 
     ``partial`` is set if the server reports that rows are missing; ``load`` is the number of its
-    requests in progress; ``incarnation`` grows with each start of the server.
+    requests in progress; ``incarnation`` grows with each start of the server. ``rate_per_s`` is how
+    many requests a second it takes from all nodes together, ``None`` for any number.
     """
 
-    __slots__ = ("request_id", "shard", "version", "rows", "partial", "load", "incarnation")
+    __slots__ = (
+        "request_id",
+        "shard",
+        "version",
+        "rows",
+        "partial",
+        "load",
+        "incarnation",
+        "rate_per_s",
+    )
+
+    def __init__(self, rate_per_s=None, **fields):
+        super().__init__(rate_per_s=rate_per_s, **fields)
 
 
 class OrderCall(Record):
@@ -30,9 +50,23 @@
 
 
 class OrderAnswer(Record):
-    """The outcome of an order, a JSON object."""
+    """The outcome of an order, a JSON object; ``rate_per_s`` as in :class:`ShardAnswer`."""
+
+    __slots__ = ("request_id", "outcome", "incarnation", "rate_per_s")
+
+    def __init__(self, rate_per_s=None, **fields):
+        super().__init__(rate_per_s=rate_per_s, **fields)
+
 
-    __slots__ = ("request_id", "outcome", "incarnation")
+def read_notice(server_id, value):
+    """Return the :class:`~auburnhollow.limits.Notice` for a ``rate_per_s``, ``None`` if invalid."""
+    if value is None:
+        return Notice(rate_per_s=None)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0.0 < value < math.inf:
+        log_decision(log, "named rate ignored", server=server_id, value=repr(value)[:40])
+        return None
+    return Notice(rate_per_s=float(value))
 
 
 def read_shard_answer(call, body):
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -98,12 +98,14 @@
     """A call to a backend server failed.
 
     :param ran: :class:`Ran`, whether the server ran the request.
+    :param notice: :class:`~auburnhollow.limits.Notice` of the answer, ``None`` without an answer.
     """
 
     ran = Ran.UNKNOWN
 
-    def __init__(self, message, ran=None):
+    def __init__(self, message, ran=None, notice=None):
         super().__init__(message)
+        self.notice = notice
         if ran is not None:
             self.ran = ran
 
@@ -122,13 +124,19 @@
 
     ran = Ran.NO
 
-    def __init__(self, message, reason, retry_after_ms=None, incarnation=None):
-        super().__init__(message)
+    def __init__(self, message, reason, retry_after_ms=None, incarnation=None, notice=None):
+        super().__init__(message, notice=notice)
         self.reason = reason
         self.retry_after_ms = retry_after_ms
         self.incarnation = incarnation
 
 
+class BackendWithheld(BackendError):
+    """The request was not sent after all: while it waited, the reason to send it had gone."""
+
+    ran = Ran.NO
+
+
 class BackendUnreachable(BackendError):
     """No connection could be opened."""
 
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -162,6 +162,11 @@
             retry_after_ms=jittered_ms(self._random, retry_ms),
         )
 
+    def is_refused(self, fingerprint):
+        """Return whether the request is in quarantine now."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and self._is_refused(suspect)
+
     def is_suspect(self, fingerprint):
         """Return whether servers have ended under the request, which has not been cleared."""
         suspect = self._suspects.get(fingerprint)
--- a/packages/auburnhollow/src/auburnhollow/relay/aggregators.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/aggregators.py
@@ -109,6 +109,11 @@
         wanted = self._wanted_aggregators(len(members))
         return any(member.id == me.id for member in members[:wanted])
 
+    def count_local_aggregators(self):
+        """Return how many nodes of this node's data centre are aggregators."""
+        members = self._members_by_rank(self._membership.me.data_centre)
+        return min(len(members), self._wanted_aggregators(len(members)))
+
     def new_key(self):
         """Return a unique key for a subquery of this node."""
         return f"{self._membership.me.id}/{next(self._keys)}"
--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -1,5 +1,7 @@
 """Chooses the backend server for a call."""
 
+import math
+
 from .views import ServerView
 
 # Default round-trip times; typical within a data centre, within a region and between regions.
@@ -35,6 +37,7 @@
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param random: a :class:`random.Random`.
     :param count_nodes: function that returns the known number of nodes that call servers.
+    :param rates: :class:`~auburnhollow.limits.ServerRates`, or ``None`` if servers name none.
     """
 
     __slots__ = (
@@ -43,40 +46,72 @@
         "_count_nodes",
         "_data_centre",
         "_random",
+        "_rates",
         "_regions",
         "_round_trips_ms",
         "_views",
     )
 
-    def __init__(self, data_centre, regions, clock, random, count_nodes=lambda: 1):
+    def __init__(self, data_centre, regions, clock, random, count_nodes=lambda: 1, rates=None):
         self._data_centre = data_centre
         self._regions = regions
         self._clock = clock
         self._random = random
         self._count_nodes = count_nodes
+        self._rates = rates
         self._connection_limits = {}
         self._round_trips_ms = {}
         self._views = {}
 
-    def choose(self, servers, work_ms, tried=()):
-        """Return the server with the lowest cost, or ``None`` if all were tried.
+    def choose(self, servers, work_ms, tried=(), until_ms=math.inf):
+        """Return the server with the lowest cost, or ``None`` if there is none to choose.
 
         :param servers: the servers that may get requests.
         :param work_ms: the route's typical work time in milliseconds.
         :param tried: ids of servers not to choose again.
+        :param until_ms: when an answer must be expected from a server that has named a rate.
         """
         now_ms = self._clock.now_ms()
+        is_limited = self.is_limited
         best = None
         best_ms = 0.0
         for server in servers:
             if server.id in tried:
                 continue
-            cost_ms = self._cost_ms(server, work_ms, now_ms)
+            wait_ms = self.wait_ms(server) if is_limited else 0.0
+            if wait_ms > 0 and now_ms + wait_ms + self.expected_ms(server, work_ms) > until_ms:
+                continue
+            cost_ms = wait_ms + self._cost_ms(server, work_ms, now_ms)
             if best is None or cost_ms < best_ms:
                 best = server
                 best_ms = cost_ms
         return best
 
+    @property
+    def is_limited(self):
+        """Whether servers have named rates."""
+        return self._rates is not None and len(self._rates) > 0
+
+    def wait_ms(self, server):
+        """Return how long a request must wait for this node's turn at a server."""
+        return 0.0 if self._rates is None else self._rates.wait_ms(server.incarnation)
+
+    def take_turn(self, server):
+        """Use this node's next turn at a server; return how long the request must wait for it."""
+        if self._rates is None:
+            return 0.0
+        wait_ms = self._rates.wait_ms(server.incarnation)
+        self._rates.take(server.incarnation)
+        return wait_ms
+
+    def hear(self, server, notice, asked_ms):
+        """Apply a server's :class:`~auburnhollow.limits.Notice`, if there is one.
+
+        :param asked_ms: the start of the call that it answered.
+        """
+        if self._rates is not None and notice is not None:
+            self._rates.hear(server.incarnation, notice, asked_ms)
+
     def expected_ms(self, server, work_ms):
         """Return the expected time of a call to the server in milliseconds, without queueing."""
         view = self.view(server)
@@ -128,6 +163,8 @@
     def forget(self, servers):
         """Drop the views of all servers except these and those with calls in progress."""
         kept = {server.incarnation for server in servers}
+        if self._rates is not None:
+            self._rates.forget(kept)
         for incarnation in [one for one in self._views if one not in kept]:
             if not self._views[incarnation].calls:
                 del self._views[incarnation]
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -161,11 +161,12 @@
             self._times[route.name] = times
         return times
 
-    def unavailable(self, detail, ran=Ran.NO):
-        """Return the error for a request that no server can answer now."""
-        return Unavailable(
-            detail, ran=ran, retry_after_ms=jittered_ms(self._random, UNAVAILABLE_RETRY_MS)
-        )
+    def unavailable(self, detail, ran=Ran.NO, retry_ms=UNAVAILABLE_RETRY_MS):
+        """Return the error for a request that no server can answer now.
+
+        :param retry_ms: when the caller should retry, in milliseconds, before jitter.
+        """
+        return Unavailable(detail, ran=ran, retry_after_ms=jittered_ms(self._random, retry_ms))
 
     def forget(self, table):
         """Drop the state of routes and servers that are gone, after a new configuration.
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -1,9 +1,10 @@
 """Sends one request to one server of each of several services."""
 
 import asyncio
+import math
 
 from ..clock import MS_PER_SECOND
-from ..exceptions import BackendDied, BackendError, BackendLost, Ran
+from ..exceptions import BackendDied, BackendError, BackendLost, BackendWithheld, Ran
 from . import call_log, failures
 from .outcomes import OutcomeRecorder
 from .repeats import MIN_CALL_MS, Repeats
@@ -16,6 +17,9 @@
 # end before the caller's deadline.
 LINGER_MS = 350.0
 HEDGE_RETRY_MS = 30.0
+# Callers that are refused because servers have named rates come back after this time or later.
+UNAVAILABLE_RETRY_MS = 250.0
+MAX_RETRY_MS = 5_000.0
 
 
 class FanOut:
@@ -58,6 +62,7 @@
         "_subrequests",
         "_times",
         "_trial",
+        "_wait_until_ms",
         "_waiter",
     )
 
@@ -94,6 +99,7 @@
         self._objective_ms = request.received_ms + route.objective_ms - ANSWER_MS
         if not min_answers:
             self._objective_ms = request.limit_ms
+        self._wait_until_ms = request.received_ms + route.objective_ms - ANSWER_MS
         self._waiter = None
         self._trial = None
 
@@ -188,23 +194,62 @@
         return False
 
     def _send_all(self):
-        """Send all subrequests, as one subquery per data centre where an aggregator accepts it."""
+        """Send all subrequests, as one subquery per data centre where an aggregator accepts it.
+
+        :raises Unavailable: if this node must wait too long for too many servers.
+        """
         self._subqueries.count_request()
         groups = {}
         for subrequest in self._subrequests:
             if subrequest.sends:
                 continue
             server = self._choose(subrequest)
+            can_call = server is not None
+            if not can_call:
+                # This node must wait too long for any server, an aggregator perhaps not.
+                server = self._choose(subrequest, until_ms=math.inf)
             if server is None:
                 continue
-            groups.setdefault(server.data_centre, []).append((subrequest, server))
+            pair = (subrequest, server if can_call else None)
+            groups.setdefault(server.data_centre, []).append(pair)
+        if self._choice.is_limited:
+            self._reject_without_turns(groups)
         for data_centre, pairs in groups.items():
             if self._subqueries.send(data_centre, [subrequest for subrequest, _server in pairs]):
                 continue
             for subrequest, server in pairs:
+                if server is None:
+                    subrequest.error = BackendWithheld("each server named a rate that is used up")
+                    continue
                 self.send_first(subrequest, server)
         self._notify_change()
 
+    def _reject_without_turns(self, groups):
+        """Reject the request if too few services can be called before the objective.
+
+        :param groups: by data centre, pairs of a subrequest and the server that this node can call,
+            or ``None``.
+        """
+        possible = sum(1 for subrequest in self._subrequests if subrequest.sends)
+        for data_centre, pairs in groups.items():
+            if self._subqueries.can_send(data_centre, pairs):
+                possible += len(pairs)
+                continue
+            possible += sum(1 for _subrequest, server in pairs if server is not None)
+        if possible >= self._min_answers:
+            return
+        waits_ms = sorted(self._least_wait_ms(subrequest) for subrequest in self._subrequests)
+        self._dispatcher.metrics.incr("relay.rate_refusals")
+        raise self._dispatcher.unavailable(
+            f"{possible} of {len(self._subrequests)} services take requests now,"
+            f" {self._min_answers} are needed",
+            retry_ms=max(UNAVAILABLE_RETRY_MS, min(waits_ms[self._min_answers - 1], MAX_RETRY_MS)),
+        )
+
+    def _least_wait_ms(self, subrequest):
+        servers = self._dispatcher.registry.usable(subrequest.service)
+        return min((self._choice.wait_ms(server) for server in servers), default=math.inf)
+
     def send_first(self, subrequest, server=None):
         """Send a subrequest for the first time; a repeat if another node may have sent it."""
         budget = self._dispatcher.budget(subrequest.service)
@@ -215,17 +260,23 @@
             return
         self._send(subrequest, server)
 
-    def _choose(self, subrequest):
-        """Return the best server that was not tried yet, or ``None``."""
+    def _choose(self, subrequest, until_ms=None):
+        """Return the best server that was not tried yet, or ``None``.
+
+        :param until_ms: when an answer must be expected from a server that this node must wait
+            for, as it has named a rate; by default the route's objective.
+        """
         servers = self._dispatcher.registry.usable(subrequest.service)
-        return self._choice.choose(servers, self._times.work_ms, subrequest.tried)
+        until_ms = self._wait_until_ms if until_ms is None else until_ms
+        return self._choice.choose(servers, self._times.work_ms, subrequest.tried, until_ms)
 
     def _send(self, subrequest, server=None):
         """Send to ``server`` or to the best one left; return whether the request was sent."""
-        now_ms = self._clock.now_ms()
         server = server or self._choose(subrequest)
-        if server is None or self._request.limit_ms - now_ms < MIN_CALL_MS:
+        if server is None or self._request.limit_ms - self._clock.now_ms() < MIN_CALL_MS:
             return False
+        wait_ms = self._choice.take_turn(server)
+        now_ms = self._clock.now_ms() + wait_ms
         view = self._choice.view(server)
         slowdown = view.slowdown(now_ms)
         subrequest.sends += 1
@@ -237,14 +288,16 @@
         subrequest.calls.append(call)
         subrequest.all_calls.append(call)
         call.keep_alive = view.began(call, now_ms)
-        call.task = asyncio.get_running_loop().create_task(self._call(call))
+        call.task = asyncio.get_running_loop().create_task(self._call(call, wait_ms))
         return True
 
-    async def _call(self, call):
-        """Make one call and record its outcome."""
+    async def _call(self, call, wait_ms):
+        """Make one call, after ``wait_ms`` milliseconds, and record its outcome."""
         subrequest = call.subrequest
         self._quarantine.record_start(call.server.id, self._fingerprint)
         try:
+            if wait_ms > 0:
+                await self._wait_for_turn(call, wait_ms)
             if self._before_send is not None:
                 await self._before_send(subrequest)
             remaining_ms = self._request.limit_ms - self._clock.now_ms()
@@ -279,6 +332,21 @@
                 self.wake()
             self._notify_change()
 
+    async def _wait_for_turn(self, call, wait_ms):
+        """Wait for this node's turn at the server of a call.
+
+        :raises BackendWithheld: when the request should not be sent any more after that.
+        """
+        server = call.server
+        self._dispatcher.metrics.incr("relay.calls_waiting")
+        await self._clock.sleep(wait_ms)
+        if self._is_complete or call.subrequest.answer is not None:
+            raise BackendWithheld(f"{server.id}: the service has answered meanwhile")
+        if server not in self._dispatcher.registry.usable(server.service):
+            raise BackendWithheld(f"{server.id}: takes no new requests any more")
+        if self._quarantine.is_refused(self._fingerprint):
+            raise BackendWithheld(f"{server.id}: the request is in quarantine meanwhile")
+
     def _is_unanswered(self, call):
         """Return whether a call that was cancelled is late, and its service has not answered."""
         is_late = self._clock.now_ms() >= call.late_ms
@@ -360,7 +428,10 @@
 
     def _try_repeat(self, subrequest, text):
         """Send the subrequest again if the budget allows; return whether it was sent."""
-        if not self._repeats.try_spend(subrequest) or not self._send(subrequest):
+        server = self._choose(subrequest)
+        if server is None or not self._repeats.try_spend(subrequest):
+            return False
+        if not self._send(subrequest, server):
             return False
         dispatcher = self._dispatcher
         dispatcher.metrics.incr("relay.hedges" if text == "hedge sent" else "relay.retries")
--- a/packages/auburnhollow/src/auburnhollow/relay/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/messages.py
@@ -43,10 +43,14 @@
     """A backend server's complete answer.
 
     ``signature`` is the server's signature of the answer, or ``None``; ``load`` is the number of
-    requests that the server reports to have, or ``None``.
+    requests that the server reports to have, or ``None``; ``notice`` is a
+    :class:`~auburnhollow.limits.Notice`, or ``None`` if nothing is known.
     """
 
-    __slots__ = ("status", "headers", "body", "signature", "load")
+    __slots__ = ("status", "headers", "body", "signature", "load", "notice")
+
+    def __init__(self, notice=None, **fields):
+        super().__init__(notice=notice, **fields)
 
     @property
     def is_success(self):
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -12,6 +12,7 @@
     BackendRefused,
     BackendReplaced,
     BackendUnreachable,
+    BackendWithheld,
 )
 from . import call_log
 
@@ -55,6 +56,7 @@
     def answered(self, call, answer):
         """Record an answer of any status; a status of 500 or above counts as a failure."""
         now_ms = self._clock.now_ms()
+        self._choice.hear(call.server, answer.notice, call.began_ms)
         call.end(f"status {answer.status}", now_ms)
         if answer.status >= 500:
             call_log.log_failure(
@@ -73,6 +75,7 @@
     def failed(self, call, error):
         """Record a :class:`~auburnhollow.exceptions.BackendError`."""
         now_ms = self._clock.now_ms()
+        self._choice.hear(call.server, error.notice, call.began_ms)
         call.end(type(error).__name__, now_ms)
         call_log.log_failure(self._request.id, call, str(error), self._fingerprint)
         self._metrics.incr(f"relay.calls_{error.kind}")
@@ -162,6 +165,11 @@
     outcomes.unanswered(call)
 
 
+@record_error.register
+def _(_error: BackendWithheld, call, outcomes, now_ms):
+    outcomes.view(call).cancelled(call, 0.0, now_ms)
+
+
 @record_error.register
 def _(_error: BackendReplaced, call, outcomes, now_ms):
     outcomes.view(call).cancelled(call, 0.0, now_ms)
--- a/packages/auburnhollow/src/auburnhollow/relay/subqueries.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subqueries.py
@@ -122,6 +122,14 @@
         for subquery in self._sent:
             subquery.task.cancel()
 
+    def can_send(self, data_centre, subrequests):
+        """Return whether the subrequests can be sent to an aggregator of the data centre."""
+        return (
+            self._aggregators is not None
+            and len(subrequests) >= MIN_SHARDS
+            and self._aggregators.choose_aggregator(data_centre) is not None
+        )
+
     def send(self, data_centre, subrequests, replaced=None, is_repeat=False):
         """Send the subrequests to an aggregator of the data centre; return whether it was sent."""
         if self._aggregators is None:
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ..backends import ShardCall
+from ..backends.messages import read_notice
 from ..exceptions import (
     BackendCut,
     BackendDied,
@@ -18,12 +19,15 @@
 TIMEOUT_LATENCY_MS = 1_000.0
 # A cancelled call that took this many times the typical latency of its server counts as unanswered.
 UNANSWERED_FACTOR = 3.0
+# A shard whose servers have all named rates is left out rather than waited for any longer.
+MAX_TURN_WAIT_MS = 250.0
 
 
 async def next_server(components, service, servers, tried, request_class):
     """Return a server to call, or ``None`` if none is eligible.
 
-    Waits for a free connection if all eligible servers are busy.
+    Waits for a free connection if all eligible servers are busy, and for this node's turn if they
+    have named rates.
 
     :param servers: the replicas of the shard.
     :param tried: ids of servers not to call again.
@@ -36,7 +40,13 @@
         busy = components.replicas.eligible_servers(configuration, servers, tried)
         if not busy:
             return None
-        await components.shares.wait_for_room(busy, request_class)
+        wait_ms = components.replicas.least_wait_ms(service, busy)
+        if wait_ms is None:
+            await components.shares.wait_for_room(busy, request_class)
+            continue
+        if wait_ms > MAX_TURN_WAIT_MS:
+            return None
+        await components.clock.sleep(wait_ms)
 
 
 async def call_server(components, service, server, call, shard, fingerprint, as_canary=False):
@@ -68,6 +78,7 @@
             _check_end(components, server, call, shard, fingerprint, as_canary)
         raise
     except BackendError as error:
+        components.replicas.hear(server, error.notice, started_ms)
         _record_error(components, service, server, error)
         if isinstance(error, BackendTimeout | BackendSilent):
             _check_end(components, server, call, shard, fingerprint, as_canary)
@@ -76,6 +87,7 @@
         components.shares.leave(server)
         components.quarantine.record_end(server.id, fingerprint)
     latency_ms = components.clock.now_ms() - started_ms
+    components.replicas.hear(server, read_notice(server.id, answer.rate_per_s), started_ms)
     components.end_checks.record_answer(server)
     components.ejection.record_success(server.id)
     components.quarantine.record_answer(fingerprint, shard, as_canary)
--- a/packages/auburnhollow/src/auburnhollow/routing/replicas.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/replicas.py
@@ -55,6 +55,7 @@
     :param shares: :class:`~auburnhollow.limits.Shares`.
     :param ejection: :class:`Ejection`.
     :param leaving: :class:`~auburnhollow.drain.LeavingServers`.
+    :param rates: :class:`~auburnhollow.limits.ServerRates`, or ``None`` if servers name none.
     """
 
     __slots__ = (
@@ -65,10 +66,12 @@
         "_stats",
         "_data_centre",
         "_random",
+        "_rates",
         "_shares",
     )
 
-    def __init__(self, data_centre, clock, random, shares, ejection, leaving):
+    def __init__(self, data_centre, clock, random, shares, ejection, leaving, rates=None):
+        self._rates = rates
         self._data_centre = data_centre
         self._clock = clock
         self._random = random
@@ -81,20 +84,47 @@
     def choose(self, configuration, service, servers, tried=()):
         """Return a server for one call, or ``None`` if none is available.
 
+        The call uses this node's turn if the server has named a rate.
+
         :param servers: the replicas of the shard.
         :param tried: ids of servers not to call again.
         """
         free = []
         for server in self.eligible_servers(configuration, servers, tried):
-            if self._shares.has_room(server, service.connections):
+            if self._shares.has_room(server, service.connections) and self.wait_ms(server) <= 0:
                 free.append(server)
         if not free:
             return None
         usable = self._ejection.usable(free, servers)
-        if len(usable) == 1:
-            return usable[0]
         sampled = usable if len(usable) <= SAMPLE_SIZE else self._random.sample(usable, SAMPLE_SIZE)
-        return min(sampled, key=lambda server: self._jittered_cost(configuration, service, server))
+        chosen = sampled[0]
+        if len(sampled) > 1:
+            chosen = min(
+                sampled, key=lambda server: self._jittered_cost(configuration, service, server)
+            )
+        if self._rates is not None:
+            self._rates.take(rate_key(chosen))
+        return chosen
+
+    def wait_ms(self, server):
+        """Return how long a request must wait for this node's turn at a server."""
+        return 0.0 if self._rates is None else self._rates.wait_ms(rate_key(server))
+
+    def least_wait_ms(self, service, servers):
+        """Return the least :meth:`wait_ms` of those with room, ``None`` if none has any."""
+        waits_ms = []
+        for server in servers:
+            if self._shares.has_room(server, service.connections):
+                waits_ms.append(self.wait_ms(server))
+        return min(waits_ms, default=None)
+
+    def hear(self, server, notice, asked_ms):
+        """Apply a server's :class:`~auburnhollow.limits.Notice`, if there is one.
+
+        :param asked_ms: the start of the call that it answered.
+        """
+        if self._rates is not None and notice is not None:
+            self._rates.hear(rate_key(server), notice, asked_ms)
 
     def eligible_servers(self, configuration, servers, tried=()):
         """Return those of ``servers`` that may get new requests, whether busy or not."""
@@ -198,6 +228,11 @@
         return DEFAULT_LATENCY_MS + OTHER_REGION_MS
 
 
+def rate_key(server):
+    """Return the key of a server for its rates; restarts do not change the key."""
+    return (server.id, UNKNOWN_INCARNATION)
+
+
 def _next_median_ms(median_ms, latency_ms):
     """Return the running median after one more sample; single outliers hardly move it.
 
--- a/packages/auburnhollow/src/auburnhollow/servers/registry.py
+++ b/packages/auburnhollow/src/auburnhollow/servers/registry.py
@@ -96,6 +96,11 @@
             self._usable[service] = found
         return found
 
+    def find(self, incarnation):
+        """Return the :class:`Server` with an id and start time, or ``None``."""
+        server = self._by_id.get(incarnation[0])
+        return server if server is not None and server.incarnation == incarnation else None
+
     def knows(self, server):
         """Return whether this incarnation of a server is still known."""
         known = self._by_id.get(server.id)
--- a/standins/src/auburnhollow_standins/fake_backends.py
+++ b/standins/src/auburnhollow_standins/fake_backends.py
@@ -41,6 +41,7 @@
         "latency_ms",
         "orders",
         "ran",
+        "rate_per_s",
         "rows",
         "script",
         "versions",
@@ -60,6 +61,7 @@
         self.crash_mark = None
         self.crash_step = "die"
         self.has_vanished = False
+        self.rate_per_s = None
         self.ran = []
         self.fully_answered = []
         self.orders = []
@@ -78,6 +80,7 @@
                 request_id=call.request_id,
                 outcome={"by": self.id, "order": call.order},
                 incarnation=self.incarnation,
+                rate_per_s=self.rate_per_s,
             )
         if not partial:
             self.fully_answered.append(call)
@@ -89,6 +92,7 @@
             partial=partial,
             load=0,
             incarnation=self.incarnation,
+            rate_per_s=self.rate_per_s,
         )
 
 
