Cut answers that never end

What callers saw: nothing in tests so far; a server that sends for ever filled the node's memory. Ruled out: a bound on the body alone (extensions of chunks and extra responses are none).

--- a/packages/auburnhollow/src/auburnhollow/backends/client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/client.py
@@ -18,6 +18,7 @@
     BackendTimeout,
     BackendUnreachable,
 )
+from .connections import BoundedResponseHandler, use_handler
 from .messages import OrderCall, ShardCall, read_notice, read_order_answer, read_shard_answer
 from .probe import Probe, probe, probe_to_end
 
@@ -141,6 +142,7 @@
         pool = self._pools.get(address)
         if pool is None:
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+            use_handler(connector, lambda loop: BoundedResponseHandler(loop, MAX_ANSWER_BYTES))
             pool = aiohttp.ClientSession(
                 connector=connector,
                 headers=self._headers,
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/backends/connections.py
@@ -0,0 +1,50 @@
+"""HTTP connections to backend servers, which may send anything."""
+
+import asyncio
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """An aiohttp connection that ends when a server sends too much for one answer.
+
+    All bytes count, whether they belong to a head, a body or neither, so that a faulty server that
+    sends without end fills no memory and costs little time.
+
+    :param max_bytes: most bytes of one answer.
+    """
+
+    def __init__(self, loop, max_bytes):
+        super().__init__(loop)
+        self._max_bytes = max_bytes
+        self._received_bytes = 0
+
+    def set_response_params(self, **params):
+        """Prepare for the answer to the next request."""
+        self._received_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data):
+        """Pass bytes on, or fail the answer once there are too many."""
+        self._received_bytes += len(data)
+        if self._received_bytes <= self._max_bytes:
+            super().data_received(data)
+            return
+        transport, payload = self.transport, self._payload
+        if transport is None or transport.is_closing():
+            return
+        error = aiohttp.ClientPayloadError(f"more than {self._max_bytes} bytes")
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        transport.abort()
+
+
+def use_handler(connector, make_handler):
+    """Let a connector create its connections with ``make_handler``, a function of the loop.
+
+    aiohttp has no option for this.
+    """
+    loop = asyncio.get_running_loop()
+    connector._factory = lambda: make_handler(loop)
--- a/packages/auburnhollow/src/auburnhollow/backends/tests/test_client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/tests/test_client.py
@@ -232,3 +232,47 @@
         assert caught.value.ran is Ran.NO
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "start, piece",
+    [
+        (b"", b"x" * 65_536),
+        (b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n" * 5_000),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999999\r\n\r\n", b"x" * 65_536),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", b"x" * 65_536),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"10000\r\n" + b"x" * 65_536 + b"\r\n",
+        ),
+    ],
+    ids=["status line", "headers", "length", "no length", "chunks"],
+)
+def test_an_answer_without_end_is_cut_and_fails(start, piece):
+    sent = []
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        try:
+            while True:
+                writer.write(piece)
+                sent.append(len(piece))
+                await writer.drain()
+        except OSError:
+            writer.close()
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = HttpBackendClient("cluj")
+        try:
+            target = Server(id="a", address=f"{host}:{port}", data_centre="cluj", labels={})
+            with pytest.raises(BackendCut):
+                await client.call(target, shard_call(), SILENT_MS)
+        finally:
+            await client.close()
+            server.close()
+
+    asyncio.run(run())
+    assert sum(sent) < 32 * 1024 * 1024
