Trust no lower count of aggregators than two in the shares of rates

A node that has just started and sees no other of its data centre took 0.575 of a rate that a server there names, as its only aggregator. Found by test_a_node_that_knows_no_other_takes_no_more_than_half, which failed with 0.575; now 0.375. The sums over all nodes are tested with 3 to 100 nodes: at most 1, and at most 1.5 in a partition in two.

--- a/packages/auburnhollow/src/auburnhollow/relay/rate_shares.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/rate_shares.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+from .aggregators import MIN_AGGREGATORS
+
 # Parts of a rate: all nodes of the server's data centre together, and all others together. Most
 # calls come from the server's own data centre.
 LOCAL_PART = 0.75
@@ -40,7 +42,7 @@
         self._membership = membership
         self._aggregators = aggregators
         self._registry = registry
-        self._max_aggregators = 1
+        self._max_aggregators = MIN_AGGREGATORS
         self._max_by_data_centre = Counter()
         self._max_nodes = MIN_NODES
         self._present = None
