Do not give up requests that wait for a turn when a server registers again or another is busy

Two faults in the gate for named rates, found by reading. A request that waited was withheld when its server renewed its registration meanwhile, as registrations were compared, not incarnations: test_a_request_that_waits_is_sent_although_the_server_registers_again_meanwhile failed with 503.

--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -342,7 +342,7 @@
         await self._clock.sleep(wait_ms)
         if self._is_complete or call.subrequest.answer is not None:
             raise BackendWithheld(f"{server.id}: the service has answered meanwhile")
-        if server not in self._dispatcher.registry.usable(server.service):
+        if not self._dispatcher.registry.is_usable(server):
             raise BackendWithheld(f"{server.id}: takes no new requests any more")
         if self._quarantine.is_refused(self._fingerprint):
             raise BackendWithheld(f"{server.id}: the request is in quarantine meanwhile")
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_named_rates.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_named_rates.py
@@ -14,6 +14,7 @@
     RelayBed,
     make_request,
     make_route,
+    make_server,
 )
 from auburnhollow_standins.virtual import run_virtually
 
@@ -188,6 +189,22 @@
     assert calls == 1
 
 
+def test_a_request_that_waits_is_sent_although_the_server_registers_again_meanwhile():
+    async def scenario():
+        bed = new_bed(("s0",), replicas=1)
+        bed.servers.rates_per_s = {"s0-0": 2.0}
+        route = make_route(("s0",), objective_ms=900.0)
+        await dispatch(bed, route, make_request(bed.clock, "r-0"))
+        task = asyncio.get_running_loop().create_task(
+            dispatch(bed, route, make_request(bed.clock, "r-1"))
+        )
+        await bed.clock.sleep(1)
+        bed.registry.put(make_server("s0-0", "s0", sequence=2))
+        return await task
+
+    assert run_virtually(scenario()).status == 200
+
+
 def test_budgets_for_repeats_are_not_spent_on_servers_that_take_nothing():
     async def scenario():
         bed = new_bed(("s0",), replicas=2)
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -37,16 +37,15 @@
         server = components.replicas.choose(configuration, service, servers, tried)
         if server is not None:
             return server
-        busy = components.replicas.eligible_servers(configuration, servers, tried)
-        if not busy:
-            return None
-        wait_ms = components.replicas.least_wait_ms(service, busy)
-        if wait_ms is None:
-            await components.shares.wait_for_room(busy, request_class)
+        eligible = components.replicas.eligible_servers(configuration, servers, tried)
+        wait_ms = components.replicas.least_wait_ms(service, eligible)
+        if wait_ms <= MAX_TURN_WAIT_MS:
+            await components.clock.sleep(wait_ms)
             continue
-        if wait_ms > MAX_TURN_WAIT_MS:
+        busy = components.replicas.without_room(service, eligible)
+        if not busy:
             return None
-        await components.clock.sleep(wait_ms)
+        await components.shares.wait_for_room(busy, request_class)
 
 
 async def call_server(components, service, server, call, shard, fingerprint, as_canary=False):
--- a/packages/auburnhollow/src/auburnhollow/routing/replicas.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/replicas.py
@@ -111,12 +111,18 @@
         return 0.0 if self._rates is None else self._rates.wait_ms(rate_key(server))
 
     def least_wait_ms(self, service, servers):
-        """Return the least :meth:`wait_ms` of those with room, ``None`` if none has any."""
+        """Return the least :meth:`wait_ms` of those with room, infinity if none has any."""
         waits_ms = []
         for server in servers:
             if self._shares.has_room(server, service.connections):
                 waits_ms.append(self.wait_ms(server))
-        return min(waits_ms, default=None)
+        return min(waits_ms, default=math.inf)
+
+    def without_room(self, service, servers):
+        """Return those of ``servers`` to which this node has all of its connections in use."""
+        return [
+            server for server in servers if not self._shares.has_room(server, service.connections)
+        ]
 
     def hear(self, server, notice, asked_ms):
         """Apply a server's :class:`~auburnhollow.limits.Notice`, if there is one.
--- a/packages/auburnhollow/src/auburnhollow/routing/tests/test_named_rates.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/tests/test_named_rates.py
@@ -5,6 +5,7 @@
 import pytest
 
 from auburnhollow.exceptions import QueryError
+from auburnhollow.limits import Notice
 from auburnhollow_standins.virtual import run_virtually
 from auburnhollow_standins.virtual_fleet import make_document, make_search, virtual_fleet
 
@@ -73,3 +74,28 @@
     answers = run_virtually(run())
     assert sum(is_complete for is_complete, _took_ms in answers) <= 3
     assert max(took_ms for _is_complete, took_ms in answers) < 400
+
+
+def test_a_search_waits_for_a_busy_server_rather_than_for_a_distant_turn():
+    async def run():
+        document = make_document(shards=1, replicas=2)
+        document["services"][0]["connections"] = 10
+        async with virtual_fleet(document, nodes=1, seed=3) as fleet:
+            await fleet.clock.sleep(2_000)
+            limited, busy = fleet.servers.values()
+            limited.rate_per_s = 0.1
+            busy.latency_ms = 50.0
+            node = fleet.nodes["n0"].node
+            notice = Notice(rate_per_s=limited.rate_per_s)
+            node.rates.hear((limited.id, 0), notice, fleet.clock.now_ms())
+            coordinator = node.coordinator
+            searches = []
+            for number in range(40):
+                search = make_search(query={"text": f"query {number}"})
+                searches.append(asyncio.create_task(coordinator.search(search)))
+                await fleet.clock.sleep(1)
+            answers = await asyncio.gather(*searches, return_exceptions=True)
+            return [getattr(answer, "coverage", answer) for answer in answers]
+
+    answers = run_virtually(run())
+    assert sum(getattr(answer, "is_complete", False) for answer in answers) >= 35
--- a/packages/auburnhollow/src/auburnhollow/servers/registry.py
+++ b/packages/auburnhollow/src/auburnhollow/servers/registry.py
@@ -96,6 +96,11 @@
             self._usable[service] = found
         return found
 
+    def is_usable(self, server):
+        """Return whether this incarnation of a server may get new requests."""
+        usable = self.usable(server.service)
+        return any(known.incarnation == server.incarnation for known in usable)
+
     def find(self, incarnation):
         """Return the :class:`Server` with an id and start time, or ``None``."""
         server = self._by_id.get(incarnation[0])
