Save evidence again only for deaths that this node has seen

Cause: each death that a node learned of by gossip or from the store made it save all that it knew, so n nodes that had seen a death of one request wrote up to n times each. Found by reading; test_a_node_saves_no_evidence_again_because_of_what_others_have_saved failed. The nodes' keys together still hold every death that one of them has seen.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -334,7 +334,8 @@
             return False
         suspect.is_undecided = bool(ending.others) and ending.fingerprint in self._running
         self._reconsider(ending.fingerprint, suspect)
-        self._report_evidence(ending.fingerprint, suspect)
+        if is_witnessed:
+            self._report_evidence(ending.fingerprint, suspect)
         return True
 
     def record_answer(self, fingerprint, shard, as_canary=False):
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_saving.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_saving.py
@@ -228,3 +228,16 @@
             quarantine.check("bad")
 
     run_virtually(run_saver(scenario))
+
+
+def test_a_node_saves_no_evidence_again_because_of_what_others_have_saved():
+    async def scenario(clock, quarantine, store):
+        crash(quarantine, "a")
+        await clock.sleep(1_000)
+        saved = store.entries.pop("bad")
+        quarantine.restore("bad", [["bad", "c", 7, "another shard", ["0a"], False, 0.0]])
+        await clock.sleep(1_000)
+        assert store.entries == {}
+        assert len(saved) == 1
+
+    run_virtually(run_saver(scenario))
