Count a request as running on a server only once its turn has come

A request that waited for a turn counted among those that ran on the server when that died, and so as something else that might explain the death. Found by reading; test_a_request_that_waits_does_not_count_as_running_on_the_server failed.

--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -294,10 +294,12 @@
     async def _call(self, call, wait_ms):
         """Make one call, after ``wait_ms`` milliseconds, and record its outcome."""
         subrequest = call.subrequest
-        self._quarantine.record_start(call.server.id, self._fingerprint)
+        is_running = False
         try:
             if wait_ms > 0:
                 await self._wait_for_turn(call, wait_ms)
+            self._quarantine.record_start(call.server.id, self._fingerprint)
+            is_running = True
             if self._before_send is not None:
                 await self._before_send(subrequest)
             remaining_ms = self._request.limit_ms - self._clock.now_ms()
@@ -320,7 +322,8 @@
         else:
             self._record_answer(call, answer)
         finally:
-            self._quarantine.record_end(call.server.id, self._fingerprint)
+            if is_running:
+                self._quarantine.record_end(call.server.id, self._fingerprint)
             subrequest.calls.remove(call)
             if subrequest.answer is None:
                 self.retry(subrequest)
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_named_rates.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_named_rates.py
@@ -205,6 +205,22 @@
     assert run_virtually(scenario()).status == 200
 
 
+def test_a_request_that_waits_does_not_count_as_running_on_the_server():
+    async def scenario():
+        bed = new_bed(("s0",), replicas=1)
+        bed.servers.rates_per_s = {"s0-0": 2.0}
+        route = make_route(("s0",), objective_ms=900.0)
+        await dispatch(bed, route, make_request(bed.clock, "r-0"))
+        request = make_request(bed.clock, "r-1", target="/waits")
+        task = asyncio.get_running_loop().create_task(dispatch(bed, route, request))
+        await bed.clock.sleep(1)
+        is_running = request.fingerprint in bed.dispatcher.quarantine._running
+        await task
+        return is_running
+
+    assert not run_virtually(scenario())
+
+
 def test_budgets_for_repeats_are_not_spent_on_servers_that_take_nothing():
     async def scenario():
         bed = new_bed(("s0",), replicas=2)
