--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_quarantine.py
@@ -243,3 +243,34 @@
             assert refusals > 200
 
     run_virtually(run())
+
+
+def test_nodes_cut_from_each_other_refuse_a_crashing_request_together():
+    async def run():
+        async with virtual_fleet(make_document(shards=1, replicas=40), nodes=7) as fleet:
+            await fleet.clock.sleep(2_000)
+            for server in fleet.servers.values():
+                server.crash_mark = "crash"
+            entries = list(fleet.nodes.values())
+            addresses = [entry.address for entry in entries]
+            for address in addresses:
+                fleet.network.cut([address], [other for other in addresses if other != address])
+            late = 0
+            noticed_ms = None
+            for number in range(14):
+                dead = sum(server.is_dead for server in fleet.servers.values())
+                try:
+                    search = make_search(query=CRASH)
+                    await entries[number % len(entries)].node.coordinator.search(search)
+                except QueryError:
+                    pass
+                now_dead = sum(server.is_dead for server in fleet.servers.values())
+                if noticed_ms is not None and now_dead > dead:
+                    late += fleet.clock.now_ms() > noticed_ms
+                if noticed_ms is None and now_dead >= 3:
+                    noticed_ms = fleet.clock.now_ms() + 4_000
+                await fleet.clock.sleep(1_000)
+            return late
+
+    # The users' rule: at most three retries once the fleet has had 4 s to notice.
+    assert run_virtually(run()) <= 3
