--- a/packages/auburnhollow/src/auburnhollow/relay/call_log.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/call_log.py
@@ -1,5 +1,6 @@
 """Log lines about the calls of a request."""
 
+import hashlib
 import logging
 
 from ..decisions import log_decision
@@ -8,6 +9,7 @@
 
 # Bounds the length of a log line; further calls were normal or resemble the logged ones.
 MAX_LOGGED_CALLS = 12
+MAX_LOGGED_PATH = 120
 
 
 def log_calls(request, route, subrequests, work_ms, now_ms):
@@ -33,17 +35,25 @@
     )
 
 
-def log_failure(request_id, call, error, fingerprint):
-    """Log a call that failed."""
+def digest_of(body):
+    """Return a short hash of a body, by which log lines can be compared; empty for none."""
+    return hashlib.blake2b(body, digest_size=6).hexdigest() if body else ""
+
+
+def log_failure(request, call, error, fingerprint):
+    """Log a call that failed, with what identifies its request."""
     log_decision(
         log,
         "call failed",
-        request_id,
+        request.id,
         server=call.server.id,
         service=call.subrequest.service,
         error=error,
         took_ms=round(call.ended_ms - call.began_ms),
         fingerprint=fingerprint,
+        caller=request.caller,
+        path=request.path[:MAX_LOGGED_PATH],
+        body=digest_of(request.body),
     )
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -59,9 +59,7 @@
         self._choice.hear(call.server, answer.notice, call.began_ms)
         call.end(f"status {answer.status}", now_ms)
         if answer.status >= 500:
-            call_log.log_failure(
-                self._request.id, call, f"status {answer.status}", self._fingerprint
-            )
+            call_log.log_failure(self._request, call, f"status {answer.status}", self._fingerprint)
             self._metrics.incr("relay.calls_fault")
             self.record_failure(call, now_ms)
             return
@@ -77,7 +75,7 @@
         now_ms = self._clock.now_ms()
         self._choice.hear(call.server, error.notice, call.began_ms)
         call.end(type(error).__name__, now_ms)
-        call_log.log_failure(self._request.id, call, str(error), self._fingerprint)
+        call_log.log_failure(self._request, call, str(error), self._fingerprint)
         self._metrics.incr(f"relay.calls_{error.kind}")
         record_error(error, call, self, now_ms)
 
