--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from auburnhollow.exceptions import BackendDied, BackendUnreachable, QueryError
 from auburnhollow_standins.fake_servers import (
     HOME,
@@ -120,11 +122,14 @@
         await bed.clock.sleep(interval_ms)
 
 
-def repeat_crashing_request(services, make_attempt, attempts=25, interval_ms=1_000.0):
+def repeat_crashing_request(
+    services, make_attempt, attempts=25, interval_ms=1_000.0, caller_of=lambda _number: "caller-1"
+):
     """Repeat a crashing request under load and return the :class:`CrashingServers`.
 
     :param make_attempt: function of the number of the attempt that returns the request's target
         and the name of its route.
+    :param caller_of: function of the number of the attempt that returns its caller.
     """
 
     async def scenario():
@@ -135,7 +140,8 @@
         await bed.clock.sleep(500)
         for number in range(attempts):
             target, name = make_attempt(number)
-            request = make_request(bed.clock, f"bad-{number}", target=target)
+            caller = caller_of(number)
+            request = make_request(bed.clock, f"bad-{number}", target=target, caller=caller)
             await dispatch(bed, make_route(services, name=name), request)
             await bed.clock.sleep(interval_ms)
         load.cancel()
@@ -160,6 +166,14 @@
     assert len(servers.crashes) <= MAX_DEATHS
 
 
+@pytest.mark.parametrize("services", [("s0",), ("s0", "s1", "s2", "s3")])
+def test_a_crashing_request_that_comes_from_several_addresses_is_not_sent_on(services):
+    servers = repeat_crashing_request(
+        services, lambda _number: (CRASH_PATH, "route"), caller_of=lambda number: f"10.0.0.{number}"
+    )
+    assert servers.count_late_retries() <= MAX_LATE_RETRIES
+
+
 def test_servers_that_die_while_the_fan_out_gives_up_count():
     services = tuple(f"s{number}" for number in range(10))
 
