Tell crashing requests apart by path and body, not by the address they come from

Callers saw: servers ended one after the other under one request, 13 in the users' record, and what ran beside it failed with them.

Cause: the fingerprint of a request held the address of its connection as its caller. The same request that comes from another address was another request, and its evidence began anew each time.

Why this works: path and body are what the sender promises to keep. Our own interface never held the caller. The opposite error, a path that many callers ask for, has a test: its answers clear it.

Ruled out by the record: deaths that are not found, evidence lifted, cleared or not spread, nodes apart.

Nodes of the build before count by their own fingerprints: each build refuses the request on the deaths that its own nodes saw.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -35,9 +35,12 @@
 MAX_FINGERPRINTS = 10_000
 
 
-def fingerprint_of(service, body):
-    """Return a short hash of a request, the same in every process."""
-    data = orjson.dumps([service, body], option=orjson.OPT_SORT_KEYS)
+def fingerprint_of(target, body):
+    """Return a short hash of a request, the same in every process.
+
+    :param target: what the request is for: a service or a path.
+    """
+    data = orjson.dumps([target, body], option=orjson.OPT_SORT_KEYS)
     return hashlib.blake2b(data, digest_size=12).hexdigest()
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/messages.py
@@ -27,11 +27,13 @@
 
     @property
     def fingerprint(self):
-        """A hash of the fields that stay the same whenever the caller sends the request again.
+        """A hash of the fields that stay the same whenever the request is sent again.
 
-        The query may differ, and so may the route that a new configuration has for the path.
+        The query may differ, and so may the route that a new configuration has for the path. The
+        caller is left out: one caller may come from several addresses, and several callers may send
+        the same request.
         """
-        return fingerprint_of(self.caller, [self.path, self.body.hex()])
+        return fingerprint_of(self.path, self.body.hex())
 
     @property
     def path(self):
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from auburnhollow.exceptions import BackendDied, BackendUnreachable, QueryError
+from auburnhollow.exceptions import BackendDied, BackendUnreachable, Quarantined, QueryError
 from auburnhollow_standins.fake_servers import (
     HOME,
     FakeServers,
@@ -21,6 +21,8 @@
 MAX_LATE_RETRIES = 3
 NOTICE_MS = 4_000.0
 SERVER_RESTART_MS = 3_000.0
+# The users' rule: an ordinary request may not be refused for longer.
+MAX_REFUSED_MS = 5_000.0
 CRASH_PATH = "/crash"
 
 
@@ -174,6 +176,38 @@
     assert servers.count_late_retries() <= MAX_LATE_RETRIES
 
 
+def test_a_path_that_many_callers_ask_for_is_not_refused_when_servers_end_one_by_one():
+    async def scenario():
+        bed = new_bed(("s0",))
+        refused = []
+
+        async def send(number):
+            request = make_request(bed.clock, f"r-{number}", target="/popular", caller=f"c{number}")
+            try:
+                await bed.dispatcher.forward(request, make_route(("s0",)), "s0")
+            except Quarantined:
+                refused.append(bed.clock.now_ms())
+            except QueryError:
+                return
+
+        tasks = set()
+        for number in range(4_000):
+            task = asyncio.get_running_loop().create_task(send(number))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            if number % 500 == 250:
+                crash = make_request(
+                    bed.clock, f"bad-{number}", target=CRASH_PATH, body=b"%d" % number
+                )
+                await dispatch(bed, make_route(("s0",)), crash)
+            await bed.clock.sleep(5.0)
+        return bed.servers.crashes, refused
+
+    crashes, refused = run_virtually(scenario())
+    assert len(crashes) >= MAX_DEATHS
+    assert max(refused, default=0.0) - min(refused, default=0.0) <= MAX_REFUSED_MS
+
+
 def test_servers_that_die_while_the_fan_out_gives_up_count():
     services = tuple(f"s{number}" for number in range(10))
 
