--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -55,6 +55,8 @@
     :param evidence_store: :class:`~auburnhollow.quarantine.EvidenceStore`, or ``None`` to keep the
         evidence against crashing requests in memory only.
 
+    :param peers: :class:`~auburnhollow.peers.Peers`; by default, a new :class:`PeerClient`.
+
     ``count_connections`` is a function that returns the number of open caller connections, or
     ``None``.
 
@@ -86,7 +88,7 @@
         "settings",
     )
 
-    def __init__(self, settings, feed, client, clock=None, evidence_store=None):
+    def __init__(self, settings, feed, client, clock=None, evidence_store=None, peers=None):
         self.settings = settings
         self.clock = clock or Clock()
         self.is_stopping = False
@@ -97,6 +99,7 @@
         self._lag = LoopLag(self.clock)
         self.count_connections = None
         self.registry = ServerRegistry(self.clock)
+        self.peers = peers or PeerClient(self.metrics, self.clock)
         self._wire_fleet()
         aggregators = Aggregators(self.peers, self.fleet.membership, self.clock)
         self._rate_shares = RateShares(self.fleet.membership, aggregators, self.registry)
@@ -183,6 +186,11 @@
         if peer_socket is None:
             return
         await self.peer_server.start_on(peer_socket)
+        self.join_fleet()
+
+    def join_fleet(self):
+        """Join the other nodes, which must be able to reach this one."""
+        loop = asyncio.get_running_loop()
         membership = self.fleet.membership
         membership.join(self.fleet.gossiper)
         for coroutine in (self.fleet.gossiper.run(), membership.run(), self._join()):
@@ -284,7 +292,6 @@
     def _wire_fleet(self):
         settings = self.settings
         self.events = Recorder(settings.id, self.clock)
-        self.peers = PeerClient(self.metrics, self.clock)
         self.peer_server = PeerServer(self.metrics)
         me = Member(
             id=settings.id,
--- a/packages/auburnhollow/src/auburnhollow/peers/server.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/server.py
@@ -79,6 +79,10 @@
         except AuburnhollowError as error:
             return Failure(text=f"{type(error).__name__}: {error}")
 
+    def answers(self, message):
+        """Return the answers to one message with several, as an asynchronous generator."""
+        return self._stream_handlers[type(message)](message)
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
@@ -115,12 +119,11 @@
                 answer_task.add_done_callback(answer_tasks.pop)
 
     async def _answer(self, writer, message, number):
-        handler = self._stream_handlers.get(type(message))
-        if handler is None:
+        if type(message) not in self._stream_handlers:
             await self._send(writer, await self.handle(message), number)
             return
         try:
-            async with aclosing(handler(message)) as answers:
+            async with aclosing(self.answers(message)) as answers:
                 async for answer in answers:
                     await self._send(writer, answer, number)
         except AuburnhollowError as error:
--- a/standins/src/auburnhollow_standins/fake_peers.py
+++ b/standins/src/auburnhollow_standins/fake_peers.py
@@ -123,6 +123,11 @@
         except PeerError:
             return
 
+    async def close(self):
+        """Cancel the messages on their way."""
+        for task in list(self._tasks):
+            task.cancel()
+
     async def _deliver(self, address, message, expects_answer):
         network = self._network
         await self._wait_until_resumed(self._address)
