Do not take connections that end with a node's own links for deaths of servers

A node that loses its links by resets saw each of its connections end and each new one refused: by the quarantine's rule every server had died under its requests. Ordinary requests became suspects on all nodes, and two such ends in one shard refused a request everywhere for two minutes.

A server that refuses connections counts as dead only once this node reaches one of its neighbours, or a server elsewhere if it has none. The request is not repeated before that is known; what ran on the server is remembered from the moment at which the connection ended.

test_connections_that_end_with_this_nodes_links_are_no_deaths failed before, on one service and on four, and passes.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/end_checks.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/end_checks.py
@@ -25,13 +25,22 @@
     :param neighbours: function that returns the other servers in the data centre of a server.
     """
 
-    __slots__ = ("_answered_ms", "_can_connect", "_clock", "_neighbours", "_tasks", "_waiting")
+    __slots__ = (
+        "_answered_ms",
+        "_can_connect",
+        "_clock",
+        "_confirming",
+        "_neighbours",
+        "_tasks",
+        "_waiting",
+    )
 
     def __init__(self, clock, can_connect, neighbours):
         self._clock = clock
         self._can_connect = can_connect
         self._neighbours = neighbours
         self._answered_ms = {}
+        self._confirming = {}
         self._tasks = set()
         self._waiting = {}
 
@@ -53,6 +62,31 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def confirm(self, server, on_ended):
+        """Call ``on_ended`` if a server that refuses connections has ended.
+
+        If its neighbours can't be reached either, the links of this node may be at fault. Calls for
+        the same server that overlap share their attempts.
+
+        :returns: a task that returns whether the server has ended.
+        """
+        loop = asyncio.get_running_loop()
+        reaching = self._confirming.get(server.id)
+        if reaching is None:
+            reaching = loop.create_task(self._reaches_neighbour(server))
+            self._confirming[server.id] = reaching
+            reaching.add_done_callback(lambda _task: self._confirming.pop(server.id))
+        task = loop.create_task(self._confirm(reaching, on_ended))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _confirm(self, reaching, on_ended):
+        is_ended = await reaching
+        if is_ended:
+            on_ended()
+        return is_ended
+
     async def _run(self, server):
         started_ms = self._clock.now_ms()
         try:
@@ -84,6 +118,9 @@
         """Return whether the data centre of the server has been reached since a time."""
         if self._answered_ms.get(server.data_centre, -1.0) >= since_ms:
             return True
+        return await self._reaches_neighbour(server)
+
+    async def _reaches_neighbour(self, server):
         unchecked = (each for each in self._neighbours(server) if each.id not in self._waiting)
         for neighbour, _ in zip(unchecked, range(MAX_NEIGHBOURS), strict=False):
             if await self._can_connect(neighbour):
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -239,6 +239,10 @@
         suspect.is_undecided = False
         self._reconsider(fingerprint, suspect)
 
+    def mark_lost(self, server, fingerprint):
+        """Remember what runs on a server whose death under the request is yet to be confirmed."""
+        self._running.at_death(server, fingerprint)
+
     def record_death(
         self, server, shard, fingerprint, as_canary=False, incarnation=0, is_silent=False
     ):
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -182,13 +182,13 @@
         return await self.client.can_connect(server)
 
     def _neighbours(self, server):
-        """Return the other servers in the data centre of a server that are not known as down."""
-        found = []
-        for other in self.registry.servers:
-            if other.data_centre != server.data_centre or other.id == server.id:
-                continue
-            if not self.choice.view(other).is_down:
-                found.append(other)
+        """Return the other servers in the data centre of a server that are not known as down.
+
+        If it is the only one there, servers elsewhere stand in for them.
+        """
+        others = [other for other in self.registry.servers if other.id != server.id]
+        near = [other for other in others if other.data_centre == server.data_centre]
+        found = [other for other in near or others if not self.choice.view(other).is_down]
         self._random.shuffle(found)
         return found
 
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -4,7 +4,7 @@
 import math
 
 from ..clock import MS_PER_SECOND
-from ..exceptions import BackendDied, BackendError, BackendLost, BackendWithheld, Ran
+from ..exceptions import BackendCut, BackendDied, BackendError, BackendLost, BackendWithheld, Ran
 from . import call_log, failures
 from .outcomes import OutcomeRecorder
 from .repeats import MIN_CALL_MS, Repeats
@@ -310,12 +310,14 @@
                 keep_alive=call.keep_alive,
                 on_write=call.mark_written,
             )
+        except BackendDied as error:
+            self._record_failure(call, await self._confirmed(call, error))
         except BackendError as error:
             self._record_failure(call, error)
         except asyncio.CancelledError as cancellation:
             self._outcomes.cancelled(call)
             if isinstance(cancellation.__cause__, BackendDied):
-                self._outcomes.died(call)
+                self._outcomes.confirm_death(call)
             elif isinstance(cancellation.__cause__, BackendLost) or self._is_unanswered(call):
                 self._outcomes.unanswered(call)
             raise
@@ -335,6 +337,15 @@
                 self.wake()
             self._notify_change()
 
+    async def _confirmed(self, call, error):
+        """Return the error of a call whose server refuses connections since it was lost."""
+        try:
+            is_dead = await asyncio.shield(self._outcomes.confirm_death(call))
+        except asyncio.CancelledError:
+            self._outcomes.cancelled(call)
+            raise
+        return error if is_dead else BackendCut(f"{error}; no other server is reached")
+
     async def _wait_for_turn(self, call, wait_ms):
         """Wait for this node's turn at the server of a call.
 
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -103,6 +103,14 @@
         """Check whether the server that left a call unanswered has ended without a sign."""
         self._end_checks.check(call.server, lambda: self._fell_silent(call))
 
+    def confirm_death(self, call):
+        """Report that the server died under the request, unless this node's links are at fault.
+
+        :returns: a task that returns whether the server died.
+        """
+        self._quarantine.mark_lost(call.server.id, self._fingerprint)
+        return self._end_checks.confirm(call.server, lambda: self.died(call))
+
     def died(self, call, is_silent=False):
         """Report to the quarantine that the server died while it ran the request.
 
@@ -153,7 +161,6 @@
 
 @record_error.register
 def _(_error: BackendDied, call, outcomes, now_ms):
-    outcomes.died(call)
     outcomes.record_failure(call, now_ms)
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_silent_ends.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_silent_ends.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from auburnhollow.exceptions import BackendLost, BackendUnreachable, Quarantined, QueryError
+from auburnhollow.exceptions import (
+    BackendDied,
+    BackendLost,
+    BackendUnreachable,
+    Quarantined,
+    QueryError,
+)
 from auburnhollow_standins.fake_servers import (
     HOME,
     FakeServers,
@@ -204,3 +210,37 @@
         return bed.dispatcher.quarantine.is_suspect(request.fingerprint)
 
     assert run_virtually(scenario())
+
+
+class UnreachableServers(VanishingServers):
+    """Servers whose connections end and that refuse new ones, while this node's links are down."""
+
+    __slots__ = ("is_down",)
+
+    async def send(self, server, request, remaining_ms, keep_alive=True, on_write=None):
+        """Answer after ``work_ms``, or fail if the links go down before that."""
+        on_write()
+        await self._clock.sleep(self.work_ms)
+        if self.is_down:
+            raise BackendDied(f"{server.id}: reset, new connection refused")
+        return make_answer(server)
+
+    async def can_connect(self, server):
+        """Return whether the links are up."""
+        return not self.is_down
+
+
+@pytest.mark.parametrize("services", [("s0",), ("s0", "s1", "s2", "s3")])
+def test_connections_that_end_with_this_nodes_links_are_no_deaths(services):
+    async def scenario():
+        bed = new_bed(services)
+        bed.servers = UnreachableServers(bed.clock)
+        bed.dispatcher.client = bed.servers
+        fingerprint = make_request(bed.clock).fingerprint
+        for number in range(6):
+            bed.servers.is_down = number % 2 == 1
+            await dispatch(bed, make_route(services), make_request(bed.clock, f"r-{number}"))
+            await bed.clock.sleep(3_000)
+        return bed.dispatcher.quarantine.is_suspect(fingerprint)
+
+    assert not run_virtually(scenario())
