Have requests answered by nodes that reach servers while a node is cut off

Cause: each call concluded something about its server; nothing concluded 'this node reaches no server', and a request had no way but the node's own calls.

Reach: several servers in trouble start a check, which connects to up to six servers of several data centres; if none accepts, the node is cut off until one does. Delegation: the whole request goes to a node that reaches servers, with its id, deadline and age; it does not pass it on. A request that may run once goes to a second node only if the first says that it did not run. What is in flight and may be repeated goes over at once, as a repeat of the budget. Peers take no subqueries to nodes that are cut off.

Weighed: readiness off (callers keep their connections, a whole zone may be cut, and a wrong conclusion empties the fleet); subqueries alone (no way for requests to one server); a timer alone to take the conclusion back.

--- a/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
@@ -5,7 +5,7 @@
 from auburnhollow.membership import Membership
 from auburnhollow.membership.messages import NearbyAsk, Ping, PingRequest
 
-URGENT_KINDS = ("configuration", "server", "ending", "survived", "cleared", "revision")
+URGENT_KINDS = ("configuration", "server", "ending", "survived", "cleared", "revision", "reach")
 
 
 class Fleet:
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -22,9 +22,12 @@
 from auburnhollow.peers import PeerClient, PeerServer
 from auburnhollow.quarantine import EvidenceSaver, Quarantine
 from auburnhollow.quarantine.gossip import QuarantineGossip
+from auburnhollow.reach import ReachGossip
 from auburnhollow.relay import Dispatcher, DispatchSettings, Merged
 from auburnhollow.relay.aggregators import Aggregators
 from auburnhollow.relay.choice import ServerChoice
+from auburnhollow.relay.delegation import Delegation, DelegationServer
+from auburnhollow.relay.delegation_messages import DelegatedRequest
 from auburnhollow.relay.fanout import ANSWER_MS
 from auburnhollow.relay.rate_shares import RateShares
 from auburnhollow.relay.subquery_messages import SubqueryAsk, SubqueryRepeats
@@ -65,6 +68,8 @@
     """
 
     __slots__ = (
+        "_delegation",
+        "_delegation_server",
         "_evidence_saver",
         "_in_progress",
         "_lag",
@@ -124,7 +129,8 @@
             self._count_nodes,
             aggregators,
         )
-        self._subqueries = SubqueryServer(self.dispatcher, lambda: self.is_ready)
+        self._wire_reach()
+        self._subqueries = SubqueryServer(self.dispatcher, self._is_open)
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
         self.peer_server.on(SubqueryRepeats, self._subqueries.allow_repeats)
         shared = SharedFeed(feed, self.peers, self.fleet.membership, self.clock, self._random)
@@ -170,8 +176,9 @@
 
     @property
     def in_progress(self):
-        """The number of requests and subqueries in progress."""
-        return self._in_progress + self._subqueries.in_progress
+        """The number of requests in progress, of callers and of other nodes."""
+        peers = self._subqueries.in_progress + self._delegation_server.in_progress
+        return self._in_progress + peers
 
     async def start(self, peer_socket=None):
         """Start following the store and join the fleet.
@@ -212,6 +219,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self.dispatcher.reach.close()
         await self.peer_server.close()
         await self.peers.close()
 
@@ -254,6 +262,7 @@
             "node.servers": len(self.registry),
             "node.nodes_present": self._count_nodes(),
             "node.connections": self.count_connections() if self.count_connections else None,
+            "node.cut_off": int(self.dispatcher.reach.is_cut_off),
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
             "relay.servers_limited": len(self.rates),
             "relay.repeats_left": self.dispatcher.least_budget_left(),
@@ -309,6 +318,25 @@
         )
         QuarantineGossip(self.quarantine, self.fleet.gossiper, self.fleet.table, self.clock)
 
+    def _wire_reach(self):
+        fleet = self.fleet
+        dispatcher = self.dispatcher
+        reach_gossip = ReachGossip(
+            dispatcher.reach, fleet.gossiper, fleet.table, fleet.membership, self.clock
+        )
+        dispatcher.aggregators.without_cut_off = reach_gossip.without_cut_off
+        self._delegation = Delegation(
+            dispatcher, reach_gossip, self.peers, self.clock, self._random
+        )
+        self._delegation_server = DelegationServer(
+            dispatcher, self._handle_delegated, self._is_open, self._random
+        )
+        self.peer_server.on_stream(DelegatedRequest, self._delegation_server.answer)
+
+    def _is_open(self):
+        """Return whether this node calls servers for other nodes."""
+        return self.is_ready and not self.dispatcher.reach.is_cut_off
+
     async def _join(self):
         """Contact the seeds until one answers, and repeat this for as long as the node runs."""
         while True:
@@ -365,10 +393,19 @@
     async def _dispatch(self, request, route):
         limit_ms = request.received_ms + route.time_limit_ms
         request.limit_ms = min(limit_ms, request.limit_ms - ANSWER_MS)
+        return await self._delegation.dispatch(request, route, self._dispatch_here)
+
+    async def _dispatch_here(self, request, route, is_repeat=False):
         if route.shards:
-            return await self.dispatcher.gather(request, route)
+            return await self.dispatcher.gather(request, route, is_repeat)
         service = self.routes.branch(route, self._random)
-        return await self.dispatcher.forward(request, route, service)
+        return await self.dispatcher.forward(request, route, service, is_repeat)
+
+    async def _handle_delegated(self, request, is_repeat):
+        """Answer a request that another node has received."""
+        route = self._route(request)
+        request.limit_ms = min(request.received_ms + route.time_limit_ms, request.limit_ms)
+        return await self._dispatch_here(request, route, is_repeat)
 
     def _count_outcome(self, route, outcome):
         """Count a request by route, urgency and outcome."""
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
@@ -12,6 +12,7 @@
         "ready": node.is_ready,
         "stopping": node.is_stopping,
         "in_progress": node.in_progress,
+        "cut_off": node.dispatcher.reach.is_cut_off,
         "version": None if routes is None else routes.version,
         "routes": 0 if routes is None else len(routes.routes),
         "store": {
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -338,3 +338,14 @@
     status = 502
     code = "backend-fault"
     ran = Ran.YES
+
+
+def error_of(code, detail, ran, retry_after_ms):
+    """Return the :class:`QueryError` with a code, as another node has reported it.
+
+    A code that is not known here gives a plain :class:`QueryError`.
+    """
+    for error_type in QueryError.__subclasses__():
+        if error_type.code == code:
+            return error_type(detail, ran=ran, retry_after_ms=retry_after_ms)
+    return QueryError(detail, ran=ran, retry_after_ms=retry_after_ms)
--- a/packages/auburnhollow/src/auburnhollow/relay/aggregators.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/aggregators.py
@@ -42,6 +42,8 @@
     :param peers: :class:`~auburnhollow.peers.Peers`.
     :param membership: :class:`~auburnhollow.membership.Membership`.
     :param clock: :class:`~auburnhollow.clock.Clock`.
+
+    ``without_cut_off`` is a function that returns those of the given members that reach servers.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "_peers",
         "_ranked",
         "_rate",
+        "without_cut_off",
     )
 
     def __init__(self, peers, membership, clock):
@@ -68,6 +71,7 @@
         self._keys = itertools.count(1)
         self._estimate = 1
         self._estimated_ms = None
+        self.without_cut_off = lambda members: members
 
     def count_request(self):
         """Count a request that may use subqueries."""
@@ -78,7 +82,7 @@
 
         ``None`` if there is none, or if this node itself is an aggregator of the data centre.
         """
-        members = self._members_by_rank(data_centre)
+        members = self.without_cut_off(self._members_by_rank(data_centre))
         me = self._membership.me.id
         wanted = self._wanted_aggregators(len(members))
         if any(member.id == me for member in members[:wanted]):
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -1,7 +1,10 @@
 """Dispatches requests to backend servers, with budgets for retries and hedges."""
 
+from contextlib import contextmanager
+
 from ..exceptions import Ran, Unavailable
 from ..quarantine import EndChecks
+from ..reach import Reach
 from ..records import Record
 from ..retry import jittered_ms
 from ..retry.window import Slack, WindowBudget
@@ -39,12 +42,15 @@
     :param count_nodes: function that returns the number of known nodes, including this one.
     :param aggregators: :class:`~auburnhollow.relay.aggregators.Aggregators`, or ``None``.
 
+    ``is_stranded`` is set while this node reaches no server, and other nodes do.
+
     >>> merged = await dispatcher.gather(request, route)
     """
 
     __slots__ = (
         "_budgets",
         "_count_nodes",
+        "_fan_outs",
         "_random",
         "_settings",
         "_slack",
@@ -54,8 +60,10 @@
         "client",
         "clock",
         "end_checks",
+        "is_stranded",
         "metrics",
         "quarantine",
+        "reach",
         "readmission",
         "registry",
     )
@@ -88,24 +96,31 @@
         self._times = {}
         self.readmission = Readmission(client, registry, choice, clock)
         self.end_checks = EndChecks(clock, self._can_connect, self._neighbours)
+        self.reach = Reach(clock, random, self._can_connect, registry)
+        self.is_stranded = False
+        self._fan_outs = set()
 
-    async def forward(self, request, route, service):
+    async def forward(self, request, route, service, is_repeat=False):
         """Send a request to one server of ``service`` and return its :class:`Answer`.
 
+        :param is_repeat: whether servers may have run the request already.
         :raises QueryError: its ``ran`` tells whether a server may have run the request.
         """
-        fan_out = FanOut(self, request, route, (service,), min_answers=1)
+        fan_out = FanOut(self, request, route, (service,), min_answers=1, is_repeat=is_repeat)
         (subrequest,) = await fan_out.run()
         return subrequest.answer
 
-    async def gather(self, request, route):
+    async def gather(self, request, route, is_repeat=False):
         """Send a request to one server of each shard and return the :class:`Merged` answer.
 
+        :param is_repeat: whether servers may have run the request already.
         :raises QueryError: if fewer shards have answered than the route requires.
         """
         shards = route.shards
         aggregators = self.aggregators if route.repeatable else None
-        fan_out = FanOut(self, request, route, shards, min_shards(route), aggregators)
+        fan_out = FanOut(
+            self, request, route, shards, min_shards(route), aggregators, is_repeat=is_repeat
+        )
         subrequests = await fan_out.run()
         bodies = []
         signatures = []
@@ -122,6 +137,23 @@
             missing=len(shards) - len(signatures),
         )
 
+    @contextmanager
+    def running(self, fan_out):
+        """Run the block as a fan-out in progress, which ends its calls if this node is stranded."""
+        self._fan_outs.add(fan_out)
+        try:
+            yield
+        finally:
+            self._fan_outs.discard(fan_out)
+
+    def set_stranded(self, is_stranded):
+        """Set ``is_stranded``, and end the calls in progress that no server will answer."""
+        was_stranded, self.is_stranded = self.is_stranded, is_stranded
+        if was_stranded or not is_stranded:
+            return
+        for fan_out in list(self._fan_outs):
+            fan_out.give_up_calls()
+
     def budget(self, service):
         """Return the :class:`WindowBudget` for repeats to a service."""
         budget = self._budgets.get(service)
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -130,20 +130,43 @@
         :raises QueryError: as soon as enough answers are no longer possible.
         """
         try:
-            self._quarantine.check(self._fingerprint)
-            self._reject_unanswerable()
-            if self._quarantine.needs_trial(self._fingerprint):
-                await self._run_trial()
-            self._send_all()
-            while not self._is_answered():
-                self._send_hedges()
-                await self._wait()
-            self._is_complete = True
+            with self._dispatcher.running(self):
+                await self._run()
             return self._subrequests
         finally:
             self._log_calls()
             self._end_calls()
 
+    async def _run(self):
+        self._quarantine.check(self._fingerprint)
+        self._reject_unanswerable()
+        if self._quarantine.needs_trial(self._fingerprint):
+            await self._run_trial()
+        self._send_all()
+        while not self._is_answered():
+            self._send_hedges()
+            await self._wait()
+        self._is_complete = True
+
+    def give_up_calls(self):
+        """End the calls in progress, since this node reaches no server.
+
+        Calls that may have reached a server go on if the request may run only once.
+        """
+        for subrequest in self._subrequests:
+            if subrequest.answer is not None:
+                continue
+            subrequest.hedge_ms = None
+            for call in subrequest.calls:
+                if call.is_written and not self._route.repeatable:
+                    continue
+                if not call.is_written:
+                    subrequest.runs -= 1
+                ran = Ran.UNKNOWN if call.is_written else Ran.NO
+                subrequest.error = BackendCut(f"{call.server.id}: out of reach from here", ran=ran)
+                call.task.cancel()
+        self.wake()
+
     def _reject_unanswerable(self):
         """Reject the request at once if too few services have servers."""
         registry = self._dispatcher.registry
@@ -408,6 +431,7 @@
             subrequest.calls
             or subrequest.error is None
             or self._is_complete
+            or self._dispatcher.is_stranded
             or not self._repeats.may_repeat(subrequest)
         ):
             self._accept_error_response(subrequest)
@@ -433,6 +457,7 @@
             subrequest.hedge_ms = None
             for call in subrequest.calls:
                 self._choice.view(call.server).mark_late(call.began_ms)
+                self._dispatcher.reach.record_silence(call.server)
             if self._repeats.is_used_up(subrequest):
                 continue
             if not self._repeats.may_repeat(subrequest) or not self._try_repeat(
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -35,6 +35,7 @@
         "_fingerprint",
         "_metrics",
         "_quarantine",
+        "_reach",
         "_readmission",
         "_registry",
         "_request",
@@ -47,6 +48,7 @@
         self._end_checks = dispatcher.end_checks
         self._metrics = dispatcher.metrics
         self._quarantine = dispatcher.quarantine
+        self._reach = dispatcher.reach
         self._readmission = dispatcher.readmission
         self._registry = dispatcher.registry
         self._request = request
@@ -56,6 +58,7 @@
     def answered(self, call, answer):
         """Record an answer of any status; a status of 500 or above counts as a failure."""
         now_ms = self._clock.now_ms()
+        self._reach.record_answer()
         self._choice.hear(call.server, answer.notice, call.began_ms)
         call.end(f"status {answer.status}", now_ms)
         if answer.status >= 500:
@@ -99,8 +102,18 @@
         """Avoid a server that accepted no connection until it accepts one."""
         self._readmission.watch(call.server)
 
+    def in_trouble(self, call):
+        """Record that a server accepted no connection, or that one was lost."""
+        self._reach.record_refusal(call.server)
+
+    def spoke(self):
+        """Record that a server was reached, although it did not answer the request."""
+        self._reach.record_answer()
+
     def unanswered(self, call):
         """Check whether the server that left a call unanswered has ended without a sign."""
+        if self._reach.is_cut_off:
+            return
         self._end_checks.check(call.server, lambda: self._fell_silent(call))
 
     def confirm_death(self, call):
@@ -151,6 +164,7 @@
 def _(_error: BackendUnreachable, call, outcomes, now_ms):
     outcomes.record_failure(call, now_ms, eject_at_once=True)
     outcomes.unreachable(call)
+    outcomes.in_trouble(call)
 
 
 @record_error.register
@@ -162,11 +176,13 @@
 @record_error.register
 def _(_error: BackendDied, call, outcomes, now_ms):
     outcomes.record_failure(call, now_ms)
+    outcomes.in_trouble(call)
 
 
 @record_error.register
 def _(_error: BackendLost, call, outcomes, now_ms):
     outcomes.record_failure(call, now_ms)
+    outcomes.in_trouble(call)
     outcomes.unanswered(call)
 
 
@@ -177,12 +193,14 @@
 
 @record_error.register
 def _(_error: BackendReplaced, call, outcomes, now_ms):
+    outcomes.spoke()
     outcomes.view(call).cancelled(call, 0.0, now_ms)
     outcomes.misdirected(call.server)
 
 
 @record_error.register
 def _(_error: BackendRefused, call, outcomes, now_ms):
+    outcomes.spoke()
     outcomes.view(call).shed(call, call.server.slots, now_ms)
     # The server did not run the request and may have capacity soon, so it may be tried again.
     call.subrequest.tried.remove(call.server.id)
--- a/standins/src/auburnhollow_standins/virtual_relays.py
+++ b/standins/src/auburnhollow_standins/virtual_relays.py
@@ -236,6 +236,7 @@
         try:
             return await self.nodes[node].handle(request)
         except QueryError as error:
+            error.request = request.id
             return error
 
 
