Have searches and orders answered by other nodes while a node is cut off

A search goes to up to three nodes that reach servers; an order that has not begun here goes to one, and to another only if the first says that it did not run. Its claim in the store keeps it at one run anyway (a test with links that flap on all three nodes).

--- a/packages/auburnhollow-node/src/auburnhollow_node/front/callers.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/front/callers.py
@@ -55,7 +55,7 @@
     async def _answer(self, search, trace):
         events = self._node.events
         try:
-            answer = await self._node.coordinator.search(search)
+            answer = await self._node.delegation.search(search)
         except QueryError as error:
             events.record(
                 "request-refused",
@@ -113,7 +113,7 @@
 
     async def _run(self, order):
         try:
-            return await self._node.orders.run(order)
+            return await self._node.delegation.run(order)
         except QueryError as error:
             self._node.events.record(
                 "order-refused", key=order.key, code=error.code, ran=error.ran.value
--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -30,10 +30,17 @@
 from auburnhollow.peers import PeerServer
 from auburnhollow.quarantine import EndChecks, Quarantine
 from auburnhollow.quarantine.gossip import QuarantineGossip
+from auburnhollow.reach import Reach, ReachGossip
 from auburnhollow.routing import Ejection, ReplicaChoice
 from auburnhollow.routing.replicas import rate_key
 from auburnhollow.scatter import Coordinator
 from auburnhollow.scatter.coordinator import Components
+from auburnhollow.scatter.delegation import (
+    ConfiguredServers,
+    DelegatedOrder,
+    DelegatedSearch,
+    RequestDelegation,
+)
 from auburnhollow.scatter.forward import Forwarder, RegionAsk
 from auburnhollow.snapshots import SnapshotChooser
 
@@ -57,7 +64,7 @@
         :class:`~auburnhollow.peers.Peers`.
 
     >>> await node.start()
-    >>> answer = await node.coordinator.search(search)
+    >>> answer = await node.delegation.search(search)
     """
 
     __slots__ = (
@@ -69,6 +76,7 @@
         "configuration_holder",
         "configuration_sync",
         "coordinator",
+        "delegation",
         "events",
         "fleet",
         "gossiper",
@@ -136,6 +144,7 @@
 
     async def stop(self):
         """Cancel all tasks."""
+        self.components.reach.close()
         tasks, self._tasks = self._tasks, []
         for task in tasks:
             task.cancel()
@@ -216,6 +225,9 @@
             metrics=self.metrics,
             quarantine=Quarantine(self.clock, self.events, rng, may_probe=self._may_probe),
             random=rng,
+            reach=Reach(
+                self.clock, rng, backends.can_connect, ConfiguredServers(self.configuration_holder)
+            ),
             replicas=ReplicaChoice(
                 settings.data_centre, self.clock, rng, shares, ejection, leaving, self.rates
             ),
@@ -229,6 +241,18 @@
             self.components, claim_store, self.peers, self.membership, self.attempts
         )
         self.orders = Orders(self.components, self.claimer, self.attempts, settings.claim_window_ms)
+        self.delegation = RequestDelegation(
+            self.coordinator,
+            self.orders,
+            self.components.reach,
+            ReachGossip(
+                self.components.reach, self.gossiper, self.table, self.membership, self.clock
+            ),
+            self.peers,
+            self.clock,
+            rng,
+            self.metrics,
+        )
 
     def _wire_gossip(self, rng):
         RateGossip(self.rates, self.gossiper, self.table, self.clock)
@@ -263,6 +287,8 @@
         on(ClaimAsk, self.claimer.on_claim)
         on(StoreOutcomeAsk, self.claimer.on_store_outcome)
         on(AttemptAsk, self.attempts.answer)
+        on(DelegatedSearch, self.delegation.answer_search)
+        on(DelegatedOrder, self.delegation.answer_order)
 
     def _may_probe(self, fingerprint):
         """Return whether this node, ranked first for the request, may run it after a quarantine."""
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -62,6 +62,7 @@
     try:
         answer = await components.backends.call(server, call, service.policy.silent_ms)
     except BackendDied:
+        components.reach.record_refusal(server)
         _record_death(components, server, call, shard, fingerprint, as_canary)
         raise
     except asyncio.CancelledError as cancellation:
@@ -74,10 +75,12 @@
         components.replicas.observe_cancelled(configuration, server, lasted_ms)
         typical_ms = components.replicas.typical_ms(configuration, server)
         if lasted_ms >= UNANSWERED_FACTOR * typical_ms:
+            components.reach.record_silence(server)
             _check_end(components, server, call, shard, fingerprint, as_canary)
         raise
     except BackendError as error:
         components.replicas.hear(server, error.notice, started_ms)
+        _record_reach(components.reach, server, error)
         _record_error(components, service, server, error)
         if isinstance(error, BackendTimeout | BackendSilent):
             _check_end(components, server, call, shard, fingerprint, as_canary)
@@ -88,6 +91,7 @@
     latency_ms = components.clock.now_ms() - started_ms
     components.replicas.hear(server, read_notice(server.id, answer.rate_per_s), started_ms)
     components.end_checks.record_answer(server)
+    components.reach.record_answer()
     components.ejection.record_success(server.id)
     components.quarantine.record_answer(fingerprint, shard, as_canary)
     components.leaving.mark_seen(server.id, answer.incarnation)
@@ -117,6 +121,15 @@
     components.end_checks.check(server, on_ended)
 
 
+def _record_reach(reach, server, error):
+    if isinstance(error, BackendUnreachable):
+        reach.record_refusal(server)
+    elif isinstance(error, BackendTimeout | BackendSilent):
+        reach.record_silence(server)
+    elif isinstance(error, BackendRefused):
+        reach.record_answer()
+
+
 def _record_error(components, service, server, error):
     if isinstance(error, EJECTING_ERRORS):
         components.ejection.record_failure(server.id)
--- a/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/coordinator.py
@@ -43,6 +43,7 @@
         "budgets_by_service",
         "quarantine",
         "random",
+        "reach",
         "replicas",
         "shares",
         "snapshots",
