--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_saving.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_saving.py
@@ -241,3 +241,71 @@
         assert len(saved) == 1
 
     run_virtually(run_saver(scenario))
+
+
+def is_checked(quarantine, fingerprint):
+    try:
+        quarantine.check(fingerprint)
+    except Quarantined:
+        return False
+    return True
+
+
+def run_beside(quarantine, server, shard, *fingerprints):
+    for each in fingerprints:
+        quarantine.record_start(server, each)
+    for each in fingerprints:
+        quarantine.record_death(server, shard, each)
+        quarantine.record_end(server, each)
+
+
+async def count_late_attempts_in_trouble(seed, shards, has_ordinary, has_failures):
+    """Return how many attempts at nodes without gossip reach servers long after the third death.
+
+    An ordinary request often runs beside the crashing one, unless it is refused, and other servers
+    often end at the same moment.
+    """
+    rng = random.Random(seed)
+    clock = VirtualClock()
+    entries = {}
+    quarantines = [new_quarantine(clock) for _ in range(NODES)]
+    tasks = []
+    for node, quarantine in enumerate(quarantines):
+        store = SharedEvidence(clock, node, entries, quarantines)
+        saver = EvidenceSaver(quarantine, store, clock, random.Random(node))
+        quarantine.on_evidence = saver.add
+        tasks.append(asyncio.get_running_loop().create_task(saver.run()))
+    deaths_ms = []
+    late = 0
+    while clock.now_ms() < 70_000:
+        await clock.sleep(rng.uniform(300, 3_000))
+        quarantine = rng.choice(quarantines)
+        if not is_checked(quarantine, "bad"):
+            continue
+        number = len(deaths_ms)
+        late += number >= MAX_DEATHS and clock.now_ms() > deaths_ms[MAX_DEATHS - 1] + NOTICE_MS
+        runs = ["bad"]
+        if has_ordinary and rng.random() < 0.7 and is_checked(quarantine, "ordinary"):
+            runs.insert(0, "ordinary")
+        shard = f"shard {number % shards}"
+        for each in range(3 if has_failures and rng.random() < 0.5 else 0):
+            name = f"other {number} {each}"
+            run_beside(rng.choice(quarantines), name, shard, name)
+        run_beside(quarantine, f"server {number}", shard, *runs)
+        deaths_ms.append(clock.now_ms())
+    for task in tasks:
+        task.cancel()
+    return late
+
+
+@pytest.mark.parametrize("shards", [1, 2])
+@pytest.mark.parametrize("has_ordinary", [False, True])
+@pytest.mark.parametrize("has_failures", [False, True])
+def test_nodes_without_gossip_agree_beside_ordinary_requests_and_failures(
+    shards, has_ordinary, has_failures
+):
+    late = []
+    for seed in range(30):
+        scenario = count_late_attempts_in_trouble(seed, shards, has_ordinary, has_failures)
+        late.append(run_virtually(scenario))
+    assert max(late) <= MAX_LATE_ATTEMPTS
