Count runs of before against the attempts of a delegated request

A failed request now says on how many servers of a service it may have run, and goes over with the attempts that are left; with none it fails. Runs sent since the last answer of any server are left out: the cut has lost them.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -33,6 +33,7 @@
 from auburnhollow.relay.subquery_messages import SubqueryAsk, SubqueryRepeats
 from auburnhollow.relay.subquery_server import SubqueryServer
 from auburnhollow.retry import jittered_ms
+from auburnhollow.routes import Route
 from auburnhollow.servers import ServerRegistry
 
 from ..fleet import Fleet
@@ -401,9 +402,10 @@
         service = self.routes.branch(route, self._random)
         return await self.dispatcher.forward(request, route, service, is_repeat)
 
-    async def _handle_delegated(self, request, is_repeat):
+    async def _handle_delegated(self, request, is_repeat, attempts):
         """Answer a request that another node has received."""
         route = self._route(request)
+        route = Route(**{**route.to_map(), "attempts": min(attempts, route.attempts)})
         request.limit_ms = min(request.received_ms + route.time_limit_ms, request.limit_ms)
         return await self._dispatch_here(request, route, is_repeat)
 
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -204,11 +204,14 @@
     :param retry_after_ms: time until a retry, in milliseconds, or ``None`` for no retry.
     :param request: the request, if it could be read.
     :param response: the problem document that the caller received.
+
+    ``runs`` is on how many servers of one service the request may have run.
     """
 
     status = 500
     code = "internal"
     ran = Ran.UNKNOWN
+    runs = 0
 
     def __init__(self, detail, ran=None, retry_after_ms=None, request=None, response=None):
         super().__init__(detail)
--- a/packages/auburnhollow/src/auburnhollow/reach/detector.py
+++ b/packages/auburnhollow/src/auburnhollow/reach/detector.py
@@ -79,6 +79,11 @@
         """Whether this node reaches no server."""
         return self._cut_off_ms is not None
 
+    @property
+    def answered_ms(self):
+        """When a server has last answered, in milliseconds of the clock."""
+        return self._answered_ms
+
     @property
     def cut_off_ms(self):
         """How long this node has reached no server, in milliseconds; ``None`` if it does."""
--- a/packages/auburnhollow/src/auburnhollow/relay/delegation.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/delegation.py
@@ -91,6 +91,7 @@
         :raises QueryError: ``ran`` says whether a server may have run the request.
         """
         is_repeat = False
+        attempts = route.attempts
         if not self._can_delegate(request):
             try:
                 return await dispatch_here(request, route)
@@ -101,7 +102,10 @@
                 if not route.repeatable and error.ran is not Ran.NO:
                     raise
                 is_repeat = error.ran is not Ran.NO
-        return await self._send(request, route, is_repeat)
+                attempts -= error.runs
+                if attempts <= 0:
+                    raise
+        return await self._send(request, is_repeat, attempts)
 
     async def _wait_for_check(self, request):
         """Wait until it is known whether this node is cut off, and other nodes are not.
@@ -140,8 +144,11 @@
             self._stranded.clear()
         self._dispatcher.set_stranded(is_stranded)
 
-    async def _send(self, request, route, is_repeat):
-        """Send a request to other nodes, one after the other, until one has answered it."""
+    async def _send(self, request, is_repeat, attempts):
+        """Send a request to other nodes, one after the other, until one has answered it.
+
+        A node that gives no answer may have used all attempts.
+        """
         asked = []
         error = None
         while len(asked) < MAX_NODES:
@@ -151,18 +158,15 @@
                 break
             asked.append(member.id)
             try:
-                return await self._ask(member, request, is_repeat)
+                return await self._ask(member, request, is_repeat, attempts)
             except (PeerUnreachable, PeerRefused) as failure:
                 error = failure
                 self._avoid(request, member, failure)
             except PeerError as failure:
-                error = failure
                 self._avoid(request, member, failure)
-                if not route.repeatable:
-                    raise BackendRejected(
-                        f"{member.id}: no answer: {failure}", ran=Ran.UNKNOWN
-                    ) from failure
-                is_repeat = True
+                raise BackendRejected(
+                    f"{member.id}: no answer: {failure}", ran=Ran.UNKNOWN
+                ) from failure
             except QueryError as failure:
                 if failure.ran is not Ran.NO or isinstance(failure, Quarantined):
                     raise
@@ -180,13 +184,13 @@
             retry_ms=RETRY_MS,
         )
 
-    async def _ask(self, member, request, is_repeat):
+    async def _ask(self, member, request, is_repeat, attempts):
         """Return the answer of another node.
 
         :raises QueryError: when it has failed to answer.
         :raises PeerError: as :meth:`~auburnhollow.peers.Peers.stream` does.
         """
-        message = pack_request(request, self._clock.now_ms(), is_repeat)
+        message = pack_request(request, self._clock.now_ms(), is_repeat, attempts)
         log_decision(log, "request delegated", request.id, through=member.id, is_repeat=is_repeat)
         self._dispatcher.metrics.incr("relay.delegated")
         self._in_progress[member.id] = self._in_progress.get(member.id, 0) + 1
@@ -253,7 +257,8 @@
     """Answers the requests that other nodes delegate to this one; they are not passed on again.
 
     :param dispatcher: :class:`~auburnhollow.relay.Dispatcher`.
-    :param handle: coroutine function that answers a request, given whether it is a repeat.
+    :param handle: coroutine function that answers a request, given whether it is a repeat and on
+        how many servers of each service it may run.
     :param is_open: function that returns whether this node accepts requests.
     :param random: a :class:`random.Random`.
     """
@@ -297,14 +302,15 @@
         self._in_progress += 1
         try:
             yield DelegatedTaken()
-            for each in await self._answers(request, message.is_repeat):
+            for each in await self._answers(request, message):
                 yield each
         finally:
             self._in_progress -= 1
 
-    async def _answers(self, request, is_repeat):
+    async def _answers(self, request, message):
         try:
-            return pack_answer(await self._handle(request, is_repeat))
+            answer = await self._handle(request, message.is_repeat, message.attempts)
+            return pack_answer(answer)
         except QueryError as error:
             failure = DelegatedFailure(
                 code=error.code,
--- a/packages/auburnhollow/src/auburnhollow/relay/delegation_messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/delegation_messages.py
@@ -15,7 +15,7 @@
 
     ``age_ms`` is how long the caller has waited, ``remaining_ms`` how long it still waits.
     ``is_repeat`` is set if servers may have run the request already; each send then counts against
-    the budget for repeats.
+    the budget for repeats. ``attempts`` is on how many servers of each service it may run.
     """
 
     __slots__ = (
@@ -29,6 +29,7 @@
         "age_ms",
         "remaining_ms",
         "is_repeat",
+        "attempts",
     )
 
 
@@ -74,7 +75,7 @@
     __slots__ = ("code", "detail", "ran", "retry_after_ms")
 
 
-def pack_request(request, now_ms, is_repeat):
+def pack_request(request, now_ms, is_repeat, attempts):
     """Return the :class:`DelegatedRequest` for a request."""
     return DelegatedRequest(
         id=request.id,
@@ -87,6 +88,7 @@
         age_ms=now_ms - request.received_ms,
         remaining_ms=request.limit_ms - now_ms,
         is_repeat=is_repeat,
+        attempts=attempts,
     )
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -4,7 +4,15 @@
 import math
 
 from ..clock import MS_PER_SECOND
-from ..exceptions import BackendCut, BackendDied, BackendError, BackendLost, BackendWithheld, Ran
+from ..exceptions import (
+    BackendCut,
+    BackendDied,
+    BackendError,
+    BackendLost,
+    BackendWithheld,
+    QueryError,
+    Ran,
+)
 from . import call_log, failures
 from .outcomes import OutcomeRecorder
 from .repeats import MIN_CALL_MS, Repeats
@@ -133,6 +141,9 @@
             with self._dispatcher.running(self):
                 await self._run()
             return self._subrequests
+        except QueryError as error:
+            error.runs = max(each.runs - each.lost_runs for each in self._subrequests)
+            raise
         finally:
             self._log_calls()
             self._end_calls()
@@ -162,6 +173,8 @@
                     continue
                 if not call.is_written:
                     subrequest.runs -= 1
+                elif call.began_ms > self._dispatcher.reach.answered_ms:
+                    subrequest.lost_runs += 1
                 ran = Ran.UNKNOWN if call.is_written else Ran.NO
                 subrequest.error = BackendCut(f"{call.server.id}: out of reach from here", ran=ran)
                 call.task.cancel()
--- a/packages/auburnhollow/src/auburnhollow/relay/subrequests.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subrequests.py
@@ -57,7 +57,8 @@
 
     ``all_calls`` lists all calls, ``calls`` those in progress. ``answer`` is the accepted
     :class:`~auburnhollow.relay.Answer`, ``error`` the last failure, ``runs`` the number of servers
-    that may have run the request, ``sends`` how often it was sent, ``tried`` the ids of the
+    that may have run the request, ``lost_runs`` how many of these it has hardly reached, since this
+    node was cut off, ``sends`` how often it was sent, ``tried`` the ids of the
     servers that were tried, ``hedge_ms`` the time to send a hedge, ``subquery`` the
     :class:`~auburnhollow.relay.subqueries.Subquery` in progress that covers the service.
     """
@@ -68,6 +69,7 @@
         "error",
         "hedge_ms",
         "all_calls",
+        "lost_runs",
         "runs",
         "sends",
         "service",
@@ -82,6 +84,7 @@
         self.all_calls = []
         self.error = None
         self.hedge_ms = None
+        self.lost_runs = 0
         self.runs = 0
         self.sends = 0
         self.subquery = None
--- a/standins/src/auburnhollow_standins/virtual_relays.py
+++ b/standins/src/auburnhollow_standins/virtual_relays.py
@@ -40,7 +40,7 @@
 
     ``cuts`` maps a node to what its cut does, ``cut_data_centres`` to the data centres that it
     can't reach besides. ``dead`` are the ids of servers that have ended. ``ran`` lists
-    the pairs of server and request id of all runs.
+    the pairs of server and request id of all runs, ``lost`` those whose answer a cut has lost.
     """
 
     def __init__(self, clock, work_ms=20.0):
@@ -50,6 +50,7 @@
         self.cut_data_centres = {}
         self.dead = set()
         self.ran = []
+        self.lost = []
         self.links = {}
 
     def how(self, node, server):
@@ -101,9 +102,15 @@
         if on_write is not None:
             on_write()
         await self._work(server, ROUND_TRIP_MS / 2)
-        world.ran.append((server.id, request.id))
-        await self._work(server, world.work_ms)
-        await self._work(server, ROUND_TRIP_MS / 2)
+        run = (server.id, request.id)
+        world.ran.append(run)
+        try:
+            await self._work(server, world.work_ms)
+            await self._work(server, ROUND_TRIP_MS / 2)
+        except BaseException:
+            if world.how(self._node, server) is not None:
+                world.lost.append(run)
+            raise
         if keep_alive:
             self._idle_ms[server.id] = world.clock.now_ms()
         return make_answer(server)
