--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_delegation.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_delegation.py
@@ -72,9 +72,7 @@
 
         request = make_request(bed.clock)
         try:
-            await delegation.dispatch(
-                request, make_route(("s0",), attempts=attempts), dispatch_here
-            )
+            await delegation.dispatch(request, make_route(("s0",)), dispatch_here)
         except QueryError:
             return peers.messages
         return peers.messages
