Confirm deaths by servers anywhere, of which more are tried

A request that ends servers of all shards at once leaves no living neighbour: each death was set against two other dead servers of the data centre, and none counted.

A server that refuses connections is now dead if any of up to six others, near and elsewhere in turn, accepts one. A node that is cut off from all of them still concludes nothing. The silent ends are checked as before.

test_deaths_count_when_a_request_ends_servers_of_all_shards_at_once failed before (20 servers ended instead of 10) and passes.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/end_checks.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/end_checks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from itertools import zip_longest
 
 from ..decisions import log_decision
 
@@ -11,6 +12,8 @@
 ATTEMPTS = 3
 # Bounds the connections to the neighbours of a server.
 MAX_NEIGHBOURS = 2
+# A request may have ended servers of all shards at once: more are needed to find one that lives.
+MAX_CONFIRMING = 6
 
 
 class EndChecks:
@@ -23,6 +26,7 @@
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param can_connect: coroutine function that returns whether a server accepts a connection.
     :param neighbours: function that returns the other servers in the data centre of a server.
+    :param elsewhere: function that returns servers of other data centres.
     """
 
     __slots__ = (
@@ -30,14 +34,16 @@
         "_can_connect",
         "_clock",
         "_confirming",
+        "_elsewhere",
         "_neighbours",
         "_tasks",
         "_waiting",
     )
 
-    def __init__(self, clock, can_connect, neighbours):
+    def __init__(self, clock, can_connect, neighbours, elsewhere=lambda server: ()):
         self._clock = clock
         self._can_connect = can_connect
+        self._elsewhere = elsewhere
         self._neighbours = neighbours
         self._answered_ms = {}
         self._confirming = {}
@@ -65,7 +71,7 @@
     def confirm(self, server, on_ended):
         """Call ``on_ended`` if a server that refuses connections has ended.
 
-        If its neighbours can't be reached either, the links of this node may be at fault. Calls for
+        If no other server can be reached either, the links of this node may be at fault. Calls for
         the same server that overlap share their attempts.
 
         :returns: a task that returns whether the server has ended.
@@ -73,7 +79,7 @@
         loop = asyncio.get_running_loop()
         reaching = self._confirming.get(server.id)
         if reaching is None:
-            reaching = loop.create_task(self._reaches_neighbour(server))
+            reaching = loop.create_task(self._reaches_other(server))
             self._confirming[server.id] = reaching
             reaching.add_done_callback(lambda _task: self._confirming.pop(server.id))
         task = loop.create_task(self._confirm(reaching, on_ended))
@@ -106,6 +112,15 @@
         for on_ended in waiting:
             on_ended()
 
+    async def _reaches_other(self, server):
+        """Return whether a server near the given one, or elsewhere, accepts a connection."""
+        pairs = zip_longest(self._neighbours(server), self._elsewhere(server))
+        others = [other for pair in pairs for other in pair if other is not None]
+        for other in others[:MAX_CONFIRMING]:
+            if await self._can_connect(other):
+                return True
+        return False
+
     async def _result(self, server, started_ms):
         for _ in range(ATTEMPTS):
             if await self._can_connect(server):
@@ -118,9 +133,6 @@
         """Return whether the data centre of the server has been reached since a time."""
         if self._answered_ms.get(server.data_centre, -1.0) >= since_ms:
             return True
-        return await self._reaches_neighbour(server)
-
-    async def _reaches_neighbour(self, server):
         unchecked = (each for each in self._neighbours(server) if each.id not in self._waiting)
         for neighbour, _ in zip(unchecked, range(MAX_NEIGHBOURS), strict=False):
             if await self._can_connect(neighbour):
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -95,7 +95,7 @@
         self._budgets = {}
         self._times = {}
         self.readmission = Readmission(client, registry, choice, clock)
-        self.end_checks = EndChecks(clock, self._can_connect, self._neighbours)
+        self.end_checks = EndChecks(clock, self._can_connect, self._neighbours, self._elsewhere)
         self.reach = Reach(clock, random, self._can_connect, registry)
         self.is_stranded = False
         self._fan_outs = set()
@@ -214,13 +214,18 @@
         return await self.client.can_connect(server)
 
     def _neighbours(self, server):
-        """Return the other servers in the data centre of a server that are not known as down.
-
-        If it is the only one there, servers elsewhere stand in for them.
-        """
-        others = [other for other in self.registry.servers if other.id != server.id]
-        near = [other for other in others if other.data_centre == server.data_centre]
-        found = [other for other in near or others if not self.choice.view(other).is_down]
+        """Return the other servers in the data centre of a server that are not known as down."""
+        return [other for other in self._others(server) if other.data_centre == server.data_centre]
+
+    def _elsewhere(self, server):
+        """Return the servers of other data centres that are not known as down."""
+        return [other for other in self._others(server) if other.data_centre != server.data_centre]
+
+    def _others(self, server):
+        found = []
+        for other in self.registry.servers:
+            if other.id != server.id and not self.choice.view(other).is_down:
+                found.append(other)
         self._random.shuffle(found)
         return found
 
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
@@ -229,3 +229,20 @@
         return bed.servers
 
     assert len(run_virtually(scenario()).crashes) <= len(services)
+
+
+@pytest.mark.parametrize("replicas", [(HOME, "iasi"), (HOME, HOME, HOME)])
+def test_deaths_count_when_a_request_ends_servers_of_all_shards_at_once(replicas):
+    services = tuple(f"s{number}" for number in range(10))
+
+    async def scenario():
+        bed = RelayBed(dict.fromkeys(services, replicas))
+        bed.servers = CrashingServers(bed.clock, work_ms=60.0)
+        bed.dispatcher.client = bed.servers
+        for number in range(3):
+            request = make_request(bed.clock, f"bad-{number}", target=CRASH_PATH)
+            await dispatch(bed, make_route(services, attempts=1), request)
+            await bed.clock.sleep(50)
+        return bed.servers.crashes
+
+    assert len(run_virtually(scenario())) <= len(services)
