--- a/packages/auburnhollow/src/auburnhollow/scatter/tests/test_cut_off_node.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/tests/test_cut_off_node.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from auburnhollow.exceptions import BackendUnreachable, QueryError, Ran
+from auburnhollow.exceptions import BackendDied, BackendUnreachable, QueryError, Ran
 from auburnhollow_standins.fake_backends import FakeBackends, Pausable
 from auburnhollow_standins.virtual import run_virtually
 from auburnhollow_standins.virtual_fleet import make_search, virtual_fleet
@@ -17,12 +17,18 @@
 
 
 class CutBackends(FakeBackends):
-    """Backend servers that refuse all connections while ``is_cut``."""
+    """Backend servers that refuse all connections while ``is_cut``.
+
+    With ``ends_calls``, connections end under a call instead, and new ones are refused.
+    """
 
     is_cut = False
+    ends_calls = False
 
     async def call(self, server, *arguments, **options):
         """Call a server, unless the links are cut."""
+        if self.is_cut and self.ends_calls:
+            raise BackendDied(f"{server.id}: reset, new connection refused")
         if self.is_cut:
             raise BackendUnreachable(f"{server.id}: refused")
         return await super().call(server, *arguments, **options)
@@ -90,6 +96,29 @@
     assert sum(ran is Ran.YES for ran in results.values()) >= 0.8 * len(results)
 
 
+def test_connections_that_end_with_a_nodes_links_are_no_deaths():
+    async def scenario():
+        backends = []
+        servers = {}
+
+        def make_backends(clock):
+            backends.append(CutBackends(servers, clock, Pausable()))
+            return backends[-1]
+
+        async with virtual_fleet(make_backends=make_backends) as fleet:
+            servers.update(fleet.servers)
+            node = fleet.nodes["n0"].node
+            await fleet.clock.sleep(2_000)
+            backends[0].ends_calls = True
+            for number in range(4):
+                backends[0].is_cut = number % 2 == 1
+                await ask(fleet, node, "search")
+                await fleet.clock.sleep(3_000)
+            return len(node.components.quarantine._suspects)
+
+    assert run_virtually(scenario()) == 0
+
+
 async def ask(fleet, node, kind):
     """Return whether a node answers a search in full, or an order."""
     try:
