--- a/packages/auburnhollow-node/tests/test_cut_off_nodes.py
+++ b/packages/auburnhollow-node/tests/test_cut_off_nodes.py
@@ -123,6 +123,19 @@
     assert max(runs.values()) <= ATTEMPTS
 
 
+@pytest.mark.parametrize("how", CUTS)
+def test_a_request_runs_on_no_more_servers_than_its_attempts_and_one_for_each_cut(how):
+    async def scenario():
+        async with running_relays() as fleet:
+            pressing = asyncio.create_task(press(fleet, [], 6_000.0, ["/stock/"], 60.0))
+            await fleet.clock.sleep(2_000)
+            fleet.world.cut(ZONE, how)
+            await pressing
+            return count_runs(fleet)
+
+    assert max(run_virtually(scenario()).values()) <= 3
+
+
 @pytest.mark.parametrize("how", CUTS)
 def test_no_request_is_suspected_because_of_a_nodes_own_links(how):
     async def scenario():
