Do not lift a quarantine before peers have said what ran on a server that ended

Change: while at most one other server has ended for each four under the request, a quarantine is lifted no earlier than half a second after that end.

Test: fails without the wait; the opposite case beside it.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -16,6 +16,10 @@
 CORRELATION_WINDOW_MS = 1_000.0
 # Servers that a common cause ends are seen to end within this time, attempts of a caller are not.
 BURST_MS = 250.0
+# The end of a server is known before all nodes have said what they had sent to it.
+SETTLE_MS = 500.0
+# This many endings for each other server that ended make it likely that the request ran there too.
+FEW_FACTOR = 4
 # How long an ending counts.
 SUSPECT_MS = 600_000.0
 # Bounds the size of an entry. The lowest fingerprints are kept, so that the requests that several
@@ -57,12 +61,15 @@
         bisect.insort(self._times, (at_ms, *key))
 
     def around(self, at_ms):
-        """Yield the id and incarnation of each server that ended at about ``at_ms``."""
+        """Yield pairs of the id and incarnation of a server that ended at about a time, and when.
+
+        :param at_ms: the time.
+        """
         first = bisect.bisect_left(self._times, (at_ms - BURST_MS,))
         for ended_ms, server, incarnation in self._times[first:]:
             if ended_ms > at_ms + BURST_MS:
                 return
-            yield server, incarnation
+            yield (server, incarnation), ended_ms
 
     def drop_until(self, until_ms):
         """Forget the servers that ended up to a time, in milliseconds."""
@@ -88,9 +95,13 @@
         self.endings = []
         self.is_answered = False
 
+    def unexplained_ms(self):
+        """Return when servers ended at the same time that did not run the request."""
+        return [at for key, at in self._ended.around(self.began_ms) if key not in self._known]
+
     def is_wider(self):
         """Return whether servers ended at the same time that did not run the request."""
-        return any(key not in self._known for key in self._ended.around(self.began_ms))
+        return bool(self.unexplained_ms())
 
     def count(self, shard=None):
         """Return how many endings count, of all shards or of one.
@@ -161,6 +172,18 @@
         """Whether other servers ended as well each time, which points at a common cause."""
         return all(burst.is_wider() for burst in self._bursts)
 
+    def is_settled(self, now_ms):
+        """Return whether peers have had time to report what else ran on the servers that ended.
+
+        Only the ends of a few other servers, beside many under the request, are waited for.
+        """
+        for burst in self._bursts:
+            unexplained_ms = burst.unexplained_ms()
+            is_few = len(unexplained_ms) * FEW_FACTOR <= len(burst.endings)
+            if is_few and any(now_ms - at < SETTLE_MS for at in unexplained_ms):
+                return False
+        return True
+
     def saved(self):
         """Return the endings with their age at the newest one, as lists for :func:`restored`."""
         last_ms = self.last_ms
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -462,6 +462,8 @@
         """Lift a quarantine if later answers or endings have made the evidence unconvincing."""
         if not self._is_refused(suspect) or suspect.evidence.is_convincing():
             return
+        if not suspect.evidence.is_settled(self._clock.now_ms()):
+            return
         suspect.quarantined_until_ms = None
         suspect.quarantine_count = max(0, suspect.quarantine_count - 1)
         log.info("quarantine: request %s lifted, the deaths have another cause", fingerprint)
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -8,6 +8,7 @@
 from auburnhollow.events import Recorder
 from auburnhollow.exceptions import Quarantined
 from auburnhollow.quarantine import Quarantine
+from auburnhollow.quarantine.evidence import SETTLE_MS, Ending
 
 # The users' limit on servers that a request may crash before it is refused.
 MAX_DEATHS = 3
@@ -95,6 +96,44 @@
             assert not is_refused(quarantine, request)
 
 
+def node_that_has_heard_of_a_search_that_ended(servers):
+    """Return a clock and a quarantine that peers told of ends, also of one beside the search."""
+    clock, quarantine = new_quarantine()
+    for number in range(servers):
+        quarantine.add_peer_ending(new_ending("bad", number), clock.now_ms())
+        clock.advance(5.0)
+    quarantine.add_peer_ending(new_ending("other", servers), clock.now_ms())
+    return clock, quarantine
+
+
+def new_ending(fingerprint, number):
+    return Ending(
+        fingerprint=fingerprint,
+        server=f"server {number}",
+        incarnation=0,
+        shard=f"shard {number}",
+        others=[],
+        is_answered=False,
+    )
+
+
+def test_a_quarantine_is_not_lifted_before_peers_have_said_what_ran_on_a_server_that_ended():
+    clock, quarantine = node_that_has_heard_of_a_search_that_ended(7)
+    for _ in range(10):
+        assert is_refused(quarantine, "bad")
+        clock.advance(10.0)
+    quarantine.add_peer_ending(new_ending("bad", 7), clock.now_ms() - 100.0)
+    clock.advance(SETTLE_MS)
+    assert is_refused(quarantine, "bad")
+
+
+def test_a_quarantine_is_lifted_when_a_server_has_ended_beside_the_request():
+    clock, quarantine = node_that_has_heard_of_a_search_that_ended(7)
+    assert is_refused(quarantine, "bad")
+    clock.advance(SETTLE_MS)
+    assert not is_refused(quarantine, "bad")
+
+
 def test_a_crashing_request_is_refused_although_servers_ended_beside_it_the_first_time():
     clock, quarantine = new_quarantine()
     crash(quarantine, "x", "shard of x", "r0")
