Leave out gossip entries that can't be read, and go on with the others

One malformed entry of a peer ended the message that it came in: the entries behind it were lost, and an exchange of tables ended with an error that nobody awaits as one. A value that a listener could not read did the same, after the entry had been stored. So did any unexpected error in the handler of a peer's message: the asking node waited for its time-out.

Change: malformed entries are left out and logged; entries that a listener can't read are kept and passed on, for peers that can; an unexpected error in a handler is logged and answered as a failure.

--- a/packages/auburnhollow/src/auburnhollow/gossip/gossiper.py
+++ b/packages/auburnhollow/src/auburnhollow/gossip/gossiper.py
@@ -4,7 +4,7 @@
 import logging
 
 from ..exceptions import PeerError
-from .entries import GossipEntry
+from .entries import read_entries
 from .messages import Fetch, Push, SyncAnswer, SyncAsk
 from .table import BUCKETS
 
@@ -81,8 +81,8 @@
     def receive(self, entries, sender):
         """Add entries from a peer, forward the new ones, and return how many were new."""
         accepted = 0
-        for values in entries:
-            accepted += self._add(GossipEntry.from_list(values), sender)
+        for entry in read_entries(entries, sender):
+            accepted += self._add(entry, sender)
         return accepted
 
     async def run(self):
@@ -126,8 +126,8 @@
         The received entries are not forwarded: they are new only to a node that has just started.
         """
         self._send(address, self._table.entries())
-        for values in await self._fetch(address, None):
-            self._table.put(GossipEntry.from_list(values), address)
+        for entry in read_entries(await self._fetch(address, None), address):
+            self._table.put(entry, address)
 
     async def _fetch(self, address, entry_ids):
         fetch = Fetch(sender=self._address, entry_ids=entry_ids)
--- a/packages/auburnhollow/src/auburnhollow/gossip/table.py
+++ b/packages/auburnhollow/src/auburnhollow/gossip/table.py
@@ -1,6 +1,12 @@
 """The table of all gossip entries that a node knows."""
 
+import logging
+
+from ..decisions import log_decision
 from ..hashing import hash_of
+from .entries import READ_ERRORS
+
+log = logging.getLogger("gossip")
 
 BUCKETS = 64
 MAX_ENTRIES = 40_000
@@ -106,7 +112,7 @@
         self._entries[bucket][entry.id] = entry
         self._buckets[bucket] ^= entry.hash
         for listener in self._listeners.get(entry.kind, ()):
-            listener(entry)
+            _notify(listener, entry)
         return True
 
     def expire(self):
@@ -127,5 +133,19 @@
     return hash_of(kind, key) % BUCKETS
 
 
+def _notify(listener, entry):
+    """Call a listener; an entry that it can't read is kept, for peers that can."""
+    try:
+        listener(entry)
+    except READ_ERRORS as error:
+        log_decision(
+            log,
+            "gossip entry not read",
+            kind=entry.kind,
+            key=entry.key[:80],
+            error=repr(error)[:80],
+        )
+
+
 def _is_expired(entry, now_ms):
     return entry.expires_ms != 0 and entry.expires_ms <= now_ms
--- a/packages/auburnhollow/src/auburnhollow/peers/server.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/server.py
@@ -78,6 +78,9 @@
             return await handler(message) or Done()
         except AuburnhollowError as error:
             return Failure(text=f"{type(error).__name__}: {error}")
+        except Exception as error:  # the peer gets an answer, and the other messages go on
+            log.exception("peers: message %s failed", type(message).__name__)
+            return Failure(text=f"{type(error).__name__}: {error}")
 
     def answers(self, message):
         """Return the answers to one message with several, as an asynchronous generator."""
