Start background tasks of a node again after an unexpected error

Operators saw: one malformed message or unexpected error took a whole process down. Here the process stayed, and the task ended unseen: a follower, a gossiper, a membership or a saver of evidence that has ended leaves a node that goes on answering with the servers and the configuration it last knew.

Change: these tasks run under keep_running, which logs the error and starts them again after half a second, on both kinds of node.

Test: a follower whose feed raises an error that it doesn't know has the next configuration in force; without keep_running its task ends there.

--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -43,6 +43,7 @@
 )
 from auburnhollow.scatter.forward import Forwarder, RegionAsk
 from auburnhollow.snapshots import SnapshotChooser
+from auburnhollow.supervision import keep_running
 
 from . import status
 from .fleet import Fleet
@@ -126,12 +127,12 @@
     async def start(self):
         """Join the fleet, load a configuration, and keep both up to date."""
         self.membership.join(self.gossiper)
-        self._start_task(self.gossiper.run())
-        self._start_task(self._join())
-        self._start_task(self.membership.run())
+        self._start_task(keep_running(self.gossiper.run, self.clock))
+        self._start_task(keep_running(self._join, self.clock))
+        self._start_task(keep_running(self.membership.run, self.clock))
         await self.configuration_sync.start()
-        self._start_task(self.configuration_sync.run())
-        self._start_task(self.leaving_gossip.run())
+        self._start_task(keep_running(self.configuration_sync.run, self.clock))
+        self._start_task(keep_running(self.leaving_gossip.run, self.clock))
         self.events.record("started", revision=self.configuration_holder.number)
 
     async def drain(self):
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -35,6 +35,7 @@
 from auburnhollow.retry import jittered_ms
 from auburnhollow.routes import Route
 from auburnhollow.servers import ServerRegistry
+from auburnhollow.supervision import keep_running
 
 from ..fleet import Fleet
 from .lag import LoopLag
@@ -186,11 +187,10 @@
 
         :param peer_socket: socket bound to the peer address; ``None`` for a node without one.
         """
-        loop = asyncio.get_running_loop()
-        self._tasks.append(loop.create_task(self.follower.run()))
-        self._tasks.append(loop.create_task(self._lag.run()))
+        self._start_task(self.follower.run)
+        self._start_task(self._lag.run)
         if self._evidence_saver is not None:
-            self._tasks.append(loop.create_task(self._evidence_saver.run()))
+            self._start_task(self._evidence_saver.run)
         if peer_socket is None:
             return
         await self.peer_server.start_on(peer_socket)
@@ -198,11 +198,15 @@
 
     def join_fleet(self):
         """Join the other nodes, which must be able to reach this one."""
-        loop = asyncio.get_running_loop()
         membership = self.fleet.membership
         membership.join(self.fleet.gossiper)
-        for coroutine in (self.fleet.gossiper.run(), membership.run(), self._join()):
-            self._tasks.append(loop.create_task(coroutine))
+        for run in (self.fleet.gossiper.run, membership.run, self._join):
+            self._start_task(run)
+
+    def _start_task(self, run):
+        """Start a background task that goes on after unexpected errors."""
+        work = keep_running(run, self.clock)
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
 
     def apply_settings(self):
         """Apply changed settings to the running dispatcher."""
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_follower.py
@@ -19,6 +19,7 @@
 from auburnhollow.follow.follower import PEER_REVISION_GRACE_MS
 from auburnhollow.routes import FrontLimits, RouteTable
 from auburnhollow.servers import ServerRegistry
+from auburnhollow.supervision import keep_running
 from auburnhollow_standins.fake_servers import make_server
 from auburnhollow_standins.virtual import VirtualClock, run_virtually
 
@@ -257,3 +258,31 @@
         return follower.change_log.after(1)
 
     assert update in run_virtually(run())
+
+
+def test_a_node_follows_the_store_again_after_an_unexpected_error():
+    async def run():
+        clock = VirtualClock()
+        feed = ScriptedFeed(clock, [configuration(1)], ValueError("bug"), [configuration(2)])
+        follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
+        task = asyncio.create_task(keep_running(follower.run, clock))
+        await clock.sleep(5_000)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return follower.routes.version
+
+    assert run_virtually(run()) == 2
+
+
+def test_a_cancelled_task_is_not_started_again_after_an_unexpected_error():
+    async def run():
+        clock = VirtualClock()
+        feed = ScriptedFeed(clock, [configuration(1)], ValueError("bug"))
+        follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
+        task = asyncio.create_task(keep_running(follower.run, clock))
+        await clock.sleep(100)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return task.cancelled()
+
+    assert run_virtually(run())
--- a/packages/auburnhollow/src/auburnhollow/peers/server.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/server.py
@@ -78,7 +78,7 @@
             return await handler(message) or Done()
         except AuburnhollowError as error:
             return Failure(text=f"{type(error).__name__}: {error}")
-        except Exception as error:  # the peer gets an answer, and the other messages go on
+        except Exception as error:  # any error: the peer must get an answer
             log.exception("peers: message %s failed", type(message).__name__)
             return Failure(text=f"{type(error).__name__}: {error}")
 
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/supervision.py
@@ -0,0 +1,24 @@
+"""Keeps the background tasks of a node running after unexpected errors."""
+
+import logging
+
+log = logging.getLogger("node")
+
+RESTART_PAUSE_MS = 500.0
+
+
+async def keep_running(run, clock):
+    """Await ``run()`` until it returns, and again some time after each unexpected error.
+
+    A node whose task has ended would go on answering with what it last knew of its servers, its
+    peers and its configuration.
+
+    :param run: coroutine function without arguments that may be called again after an error.
+    :param clock: :class:`~auburnhollow.clock.Clock`.
+    """
+    while True:
+        try:
+            return await run()
+        except Exception:  # any error: the task must not end
+            log.exception("node: background task failed, it is started again")
+        await clock.sleep(RESTART_PAUSE_MS)
