Confirm deaths of servers in our own interface before they count

Confirming each death takes time, in which hedges of the same search reached further servers.

Change: as in the relay, a death counts once another server, near or elsewhere, accepts a connection. While that is found out, no hedge of the request is sent.

Test: test_connections_that_end_with_a_nodes_links_are_no_deaths failed before, passes; off the list. The tests of crashing searches on that interface pass unchanged (at most one end a shard). The relay's code is not touched.

--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -215,7 +215,9 @@
             backends=backends,
             clock=self.clock,
             ejection=ejection,
-            end_checks=EndChecks(self.clock, backends.can_connect, self._neighbours),
+            end_checks=EndChecks(
+                self.clock, backends.can_connect, self._neighbours, self._elsewhere
+            ),
             events=self.events,
             forwarder=Forwarder(
                 settings.data_centre, self.membership, self.peers, self.clock, rng, self.metrics
@@ -297,11 +299,15 @@
 
     def _neighbours(self, server):
         """Return the other servers in the data centre of a server."""
+        return [other for other in self._others(server) if other.data_centre == server.data_centre]
+
+    def _elsewhere(self, server):
+        """Return the servers of other data centres."""
+        return [other for other in self._others(server) if other.data_centre != server.data_centre]
+
+    def _others(self, server):
         servers = self.configuration_holder.configuration.servers.values()
-        found = []
-        for other in servers:
-            if other.data_centre == server.data_centre and other.id != server.id:
-                found.append(other)
+        found = [other for other in servers if other.id != server.id]
         self.components.random.shuffle(found)
         return found
 
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -4,6 +4,7 @@
 import hashlib
 import logging
 import math
+from collections import Counter
 from contextlib import asynccontextmanager, contextmanager
 
 import orjson
@@ -97,6 +98,7 @@
     __slots__ = (
         "_clock",
         "_cleared_ms",
+        "_confirming",
         "_ended",
         "_events",
         "_last_answer_ms",
@@ -117,6 +119,7 @@
         self._may_probe = may_probe or (lambda fingerprint: True)
         self._suspects = {}
         self._cleared_ms = {}
+        self._confirming = Counter()
         self._ended = EndedServers()
         self._running = RunningCalls(clock)
         self._last_answer_ms = {}
@@ -243,6 +246,21 @@
         """Record that a call of the request is given up while the server may run it."""
         self._running.abandon(server, fingerprint)
 
+    @contextmanager
+    def confirming(self, fingerprint):
+        """Run the block while it is found out whether a server died under the request."""
+        self._confirming[fingerprint] += 1
+        try:
+            yield
+        finally:
+            self._confirming[fingerprint] -= 1
+            if not self._confirming[fingerprint]:
+                del self._confirming[fingerprint]
+
+    def is_in_doubt(self, fingerprint):
+        """Return whether the request is a suspect, or may become one any moment."""
+        return fingerprint in self._confirming or self.is_suspect(fingerprint)
+
     def mark_lost(self, server, fingerprint):
         """Remember what runs on a server whose death under the request is yet to be confirmed."""
         self._running.at_death(server, fingerprint)
--- a/packages/auburnhollow/src/auburnhollow/routing/calls.py
+++ b/packages/auburnhollow/src/auburnhollow/routing/calls.py
@@ -63,12 +63,14 @@
         answer = await components.backends.call(server, call, service.policy.silent_ms)
     except BackendDied:
         components.reach.record_refusal(server)
-        _record_death(components, server, call, shard, fingerprint, as_canary)
+        confirmation = _confirm_death(components, server, call, shard, fingerprint, as_canary)
+        with components.quarantine.confirming(fingerprint):
+            await asyncio.shield(confirmation)
         raise
     except asyncio.CancelledError as cancellation:
         components.quarantine.record_abandoned(server.id, fingerprint)
         if isinstance(cancellation.__cause__, BackendDied):
-            _record_death(components, server, call, shard, fingerprint, as_canary)
+            _confirm_death(components, server, call, shard, fingerprint, as_canary)
             raise
         # Another replica was faster; the time so far is a lower bound of this one's latency.
         lasted_ms = components.clock.now_ms() - started_ms
@@ -113,6 +115,16 @@
     )
 
 
+def _confirm_death(components, server, call, shard, fingerprint, as_canary):
+    """Record the death of a server, unless this node's links are at fault; return the task."""
+    components.quarantine.mark_lost(server.id, fingerprint)
+
+    def on_ended():
+        _record_death(components, server, call, shard, fingerprint, as_canary)
+
+    return components.end_checks.confirm(server, on_ended)
+
+
 def _check_end(components, server, call, shard, fingerprint, as_canary):
     """Check whether the server that left a call unanswered has ended without a sign."""
 
--- a/packages/auburnhollow/src/auburnhollow/scatter/shard.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/shard.py
@@ -155,7 +155,7 @@
 
     def _choose_hedge(self):
         """Return the server for a hedge, or ``None`` when none may be sent."""
-        if self._components.quarantine.is_suspect(self._fingerprint):
+        if self._components.quarantine.is_in_doubt(self._fingerprint):
             return None
         server = self._choose()
         if server is None or not self._components.budgets(self._plan.service).may_hedge():
