Test requests refused beside a crashing one of other nodes: known red

In a test of three quarantines it shows each time: two servers of a shard run an ordinary and a crashing request; those on the second come from different nodes. Each node sets the end against what it ran there itself, so two ends in one shard convict the ordinary request, although peers report both as ends of a request in quarantine that has three.

Where both requests lost the same servers and no others nothing tells them apart; the test gives the crashing one an end elsewhere.

Also: failures of background tasks of our own node are recorded as events again, which the change to keep_running had dropped.

--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -127,12 +127,12 @@
     async def start(self):
         """Join the fleet, load a configuration, and keep both up to date."""
         self.membership.join(self.gossiper)
-        self._start_task(keep_running(self.gossiper.run, self.clock))
-        self._start_task(keep_running(self._join, self.clock))
-        self._start_task(keep_running(self.membership.run, self.clock))
+        self._start_task(self.gossiper.run)
+        self._start_task(self._join)
+        self._start_task(self.membership.run)
         await self.configuration_sync.start()
-        self._start_task(keep_running(self.configuration_sync.run, self.clock))
-        self._start_task(keep_running(self.leaving_gossip.run, self.clock))
+        self._start_task(self.configuration_sync.run)
+        self._start_task(self.leaving_gossip.run)
         self.events.record("started", revision=self.configuration_holder.number)
 
     async def drain(self):
@@ -151,15 +151,13 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _start_task(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(self._task_ended)
-        self._tasks.append(task)
+    def _start_task(self, run):
+        """Start a background task that goes on after unexpected errors."""
+        work = keep_running(run, self.clock, self._record_task_failure)
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
 
-    def _task_ended(self, task):
-        if not task.cancelled() and task.exception() is not None:
-            log.error("node: background task failed", exc_info=task.exception())
-            self.events.record("task-failed", error=repr(task.exception()))
+    def _record_task_failure(self, error):
+        self.events.record("task-failed", error=repr(error))
 
     async def _join(self):
         """Contact the nodes of the instance list, and repeat until there is a configuration."""
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -201,3 +201,23 @@
         crash(quarantine, f"s{attempts}", "shard", f"other {attempts}", "bad")
         clock.advance(300.0)
     assert attempts <= MAX_DEATHS
+
+
+def test_a_request_whose_servers_ended_under_another_one_of_other_nodes_is_not_refused():
+    clock = ManualClock()
+    nodes = [Quarantine(clock, Recorder("t", clock), random.Random(1)) for _ in range(3)]
+    for sender in nodes:
+        peers = [node for node in nodes if node is not sender]
+        sender.on_ending = lambda ending, peers=peers: [
+            peer.add_peer_ending(ending, clock.now_ms()) for peer in peers
+        ]
+    # Servers a and b ran both requests; those on b came from different nodes.
+    crash(nodes[0], "a", "the shard", "ordinary", "bad")
+    crash(nodes[2], "c", "another shard", "bad")
+    clock.advance(INTERVAL_MS)
+    crash(nodes[1], "b", "the shard", "ordinary")
+    crash(nodes[2], "b", "the shard", "bad")
+    clock.advance(SETTLE_MS)
+    for quarantine in nodes:
+        assert is_refused(quarantine, "bad")
+        assert not is_refused(quarantine, "ordinary")
