Hold homes, public routes, client accounts and cold rates in the configuration

Change: Route, Service, RouteTable, Request and the messages of subqueries and delegated requests get the new fields. Only digests of keys are held. Records are sent without defaults at their end, and missing ones are filled in, so that a build without the new fields reads what does not use them (test_builds.py). Ruled out: new message types beside the old ones, which would double the readers.

--- a/packages/auburnhollow/src/auburnhollow/follow/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/messages.py
@@ -2,6 +2,7 @@
 
 from functools import lru_cache, singledispatch
 
+from ..accounts import Account
 from ..exceptions import ProtocolError
 from ..peers.codec import Message, compress, decompress, register
 from ..routes import Branch, FrontLimits, Route, RouteTable, Service
@@ -69,9 +70,12 @@
         values = route.to_map()
         values["branches"] = [branch.to_list() for branch in route.branches]
         values["shards"] = list(route.shards)
-        routes.append(list(values.values()))
-    services = [service.to_list() for service in table.services.values()]
-    return compress([table.version, routes, services, table.limits.to_list()])
+        routes.append(Route(**values).to_short_list())
+    services = [service.to_short_list() for service in table.services.values()]
+    packed = [table.version, routes, services, table.limits.to_list()]
+    if table.accounts:
+        packed.append([account.to_short_list() for account in table.accounts.values()])
+    return compress(packed)
 
 
 def unpack_table(data):
@@ -85,15 +89,22 @@
         raise ProtocolError(f"invalid packed configuration: {error!r}") from error
 
 
-def _table_from_lists(version, route_lists, service_lists, limits):
+def _table_from_lists(version, route_lists, service_lists, limits, account_lists=()):
     routes = []
     for values in route_lists:
         route = Route.from_list(values)
         route.branches = tuple(Branch.from_list(branch) for branch in route.branches)
         route.shards = tuple(route.shards)
+        route.homes = tuple(route.homes)
         routes.append(route)
     services = [Service.from_list(values) for values in service_lists]
-    return RouteTable(version, routes, services, FrontLimits.from_list(limits))
+    accounts = []
+    for values in account_lists:
+        account = Account.from_list(values)
+        account.key_digests = tuple(account.key_digests)
+        account.homes = tuple(account.homes)
+        accounts.append(account)
+    return RouteTable(version, routes, services, FrontLimits.from_list(limits), accounts)
 
 
 def pack_servers(servers):
--- a/packages/auburnhollow/src/auburnhollow/peers/codec.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/codec.py
@@ -67,7 +67,7 @@
     :param number: request number that links an answer to its request; 0 when no answer is
         expected.
     """
-    return msgpack.packb([_NAMES_BY_TYPE[type(message)], number, message.to_list()])
+    return msgpack.packb([_NAMES_BY_TYPE[type(message)], number, message.to_short_list()])
 
 
 def unpack(frame):
--- a/packages/auburnhollow/src/auburnhollow/relay/delegation_messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/delegation_messages.py
@@ -16,6 +16,7 @@
     ``age_ms`` is how long the caller has waited, ``remaining_ms`` how long it still waits.
     ``is_repeat`` is set if servers may have run the request already; each send then counts against
     the budget for repeats. ``attempts`` is on how many servers of each service it may run.
+    ``account`` and ``homes`` are those of the request.
     """
 
     __slots__ = (
@@ -30,7 +31,10 @@
         "remaining_ms",
         "is_repeat",
         "attempts",
+        "account",
+        "homes",
     )
+    DEFAULTS = {"account": None, "homes": None}
 
 
 @register("delegated-taken")
@@ -89,6 +93,8 @@
         remaining_ms=request.limit_ms - now_ms,
         is_repeat=is_repeat,
         attempts=attempts,
+        account=request.account,
+        homes=None if request.homes is None else list(request.homes),
     )
 
 
@@ -109,6 +115,8 @@
         received_ms=sent_ms - message.age_ms,
         # The answer takes as long on its way back.
         limit_ms=sent_ms + message.remaining_ms - one_way_ms,
+        account=message.account,
+        homes=None if message.homes is None else tuple(message.homes),
     )
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/messages.py
@@ -11,6 +11,11 @@
     the hop-by-hop headers. ``caller`` identifies the caller. ``received_ms`` and ``limit_ms`` are
     times of the node's clock, in milliseconds: when the request was received, and its deadline,
     after which the caller no longer waits.
+
+    ``key_digest`` is the digest of the caller's key, ``account`` the name of the client account
+    that holds it, ``homes`` the regions whose servers may get the request; each is ``None`` where
+    it does not apply. ``withheld`` are headers that are forwarded only if no client accounts are
+    configured.
     """
 
     __slots__ = (
@@ -23,7 +28,12 @@
         "body",
         "received_ms",
         "limit_ms",
+        "key_digest",
+        "account",
+        "homes",
+        "withheld",
     )
+    DEFAULTS = {"key_digest": None, "account": None, "homes": None, "withheld": ()}
 
     @property
     def fingerprint(self):
--- a/packages/auburnhollow/src/auburnhollow/relay/subquery_messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subquery_messages.py
@@ -18,7 +18,8 @@
     ``key`` identifies the subquery, ``age_ms`` is how long the caller has waited. Until the
     requesting node sends :class:`SubqueryRepeats`, each shard may run the request on one server
     only. ``is_repeat`` is set if servers may have run it for another node already; each
-    send then counts against the budget for repeats.
+    send then counts against the budget for repeats. ``account`` and ``homes`` are those of the
+    request.
     """
 
     __slots__ = (
@@ -38,7 +39,10 @@
         "age_ms",
         "remaining_ms",
         "is_repeat",
+        "account",
+        "homes",
     )
+    DEFAULTS = {"account": None, "homes": None}
 
 
 @register("subquery-taken")
@@ -111,6 +115,8 @@
         age_ms=now_ms - request.received_ms,
         remaining_ms=request.limit_ms - now_ms,
         is_repeat=is_repeat,
+        account=request.account,
+        homes=None if request.homes is None else list(request.homes),
     )
 
 
@@ -131,6 +137,8 @@
         received_ms=sent_ms - message.age_ms,
         # The answer takes as long on its way back.
         limit_ms=sent_ms + message.remaining_ms - one_way_ms,
+        account=message.account,
+        homes=None if message.homes is None else tuple(message.homes),
     )
     route = Route(
         name=message.route,
--- a/packages/auburnhollow/src/auburnhollow/routes/model.py
+++ b/packages/auburnhollow/src/auburnhollow/routes/model.py
@@ -20,6 +20,9 @@
     A route has either ``branches``, a tuple of :class:`Branch`, or ``shards``, a tuple of service
     names that are all queried. The greatest ``most_records`` records of the shards are returned if
     at least ``least_share`` of the shards have answered, 0 to 1.
+
+    ``homes`` are the regions whose servers may get the requests, empty for any. Requests of a
+    route that ``is_public`` need no key.
     """
 
     __slots__ = (
@@ -35,16 +38,22 @@
         "shards",
         "most_records",
         "least_share",
+        "homes",
+        "is_public",
     )
+    DEFAULTS = {"homes": (), "is_public": False}
 
 
 class Service(Record):
     """A group of equivalent backend servers.
 
-    ``connections`` is the total number of connections that each server accepts.
+    ``connections`` is the total number of connections that each server accepts. For
+    ``warm_up_ms`` milliseconds after its start a server is cold, and takes at most
+    ``cold_rate_per_s`` requests per second from all nodes together, ``None`` for any number.
     """
 
-    __slots__ = ("name", "connections")
+    __slots__ = ("name", "connections", "warm_up_ms", "cold_rate_per_s")
+    DEFAULTS = {"warm_up_ms": 0.0, "cold_rate_per_s": None}
 
 
 class FrontLimits(Record):
--- a/packages/auburnhollow/src/auburnhollow/routes/table.py
+++ b/packages/auburnhollow/src/auburnhollow/routes/table.py
@@ -10,17 +10,42 @@
     :param routes: list of :class:`~auburnhollow.routes.Route`.
     :param services: list of :class:`~auburnhollow.routes.Service`.
     :param limits: :class:`~auburnhollow.routes.FrontLimits`.
+    :param accounts: list of :class:`~auburnhollow.accounts.Account`; empty if callers need no key.
+
+    ``accounts`` maps names to accounts.
     """
 
-    __slots__ = ("_by_prefix", "_splits", "limits", "routes", "services", "version")
+    __slots__ = (
+        "_by_key",
+        "_by_prefix",
+        "_splits",
+        "accounts",
+        "limits",
+        "routes",
+        "services",
+        "version",
+    )
 
-    def __init__(self, version, routes, services, limits):
+    def __init__(self, version, routes, services, limits, accounts=()):
         self.version = version
         self.routes = routes
         self.services = {service.name: service for service in services}
         self.limits = limits
         self._by_prefix = {(route.host, route.prefix): route for route in routes}
         self._splits = {}
+        self.accounts = {account.name: account for account in accounts}
+        self._by_key = {}
+        for account in accounts:
+            for key_digest in account.key_digests:
+                # A key in two accounts belongs to the first, on all nodes alike.
+                self._by_key.setdefault(key_digest, account)
+
+    def account_of(self, key_digest):
+        """Return the :class:`~auburnhollow.accounts.Account` that holds a key, or ``None``.
+
+        :param key_digest: digest of the key, see :func:`~auburnhollow.accounts.digest_of`.
+        """
+        return self._by_key.get(key_digest)
 
     def find(self, host, path):
         """Return the route of ``host`` with the longest matching prefix, or ``None``.
