--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -6,6 +6,7 @@
 import random
 import resource
 
+from auburnhollow.accounts.access import Access
 from auburnhollow.clock import Clock
 from auburnhollow.decisions import log_decision
 from auburnhollow.events import Recorder
@@ -70,6 +71,7 @@
     """
 
     __slots__ = (
+        "_access",
         "_delegation",
         "_delegation_server",
         "_evidence_saver",
@@ -132,7 +134,8 @@
             aggregators,
         )
         self._wire_reach()
-        self._subqueries = SubqueryServer(self.dispatcher, self._is_open)
+        self._access = Access(settings.revoke_ms if settings.strict_revoke else None)
+        self._subqueries = SubqueryServer(self.dispatcher, self._is_open, self._check_subquery)
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
         self.peer_server.on(SubqueryRepeats, self._subqueries.allow_repeats)
         shared = SharedFeed(feed, self.peers, self.fleet.membership, self.clock, self._random)
@@ -145,6 +148,9 @@
             self.metrics,
         )
         self.follower.on_evidence = self.quarantine.restore
+        if settings.strict_revoke:
+            # The state must be confirmed well before it counts as too old for keyed requests.
+            self.follower.watch_ms = min(self.follower.watch_ms, settings.revoke_ms / 2)
         self._evidence_saver = None
         if evidence_store is not None:
             self._evidence_saver = EvidenceSaver(
@@ -241,6 +247,7 @@
             if self.routes is None:
                 await self._wait_for_first_read(request)
             route = self._route(request)
+            self._access.admit(request, route, self.routes, self.follower.age_ms)
             answer = await self._dispatch(request, route)
         except QueryError as error:
             self._log_error(request, route, error)
@@ -301,6 +308,7 @@
             status=getattr(answer, "status", None),
             missing=getattr(answer, "missing", None),
             age_ms=round(age_ms),
+            account=request.account,
         )
 
     def _wire_fleet(self):
@@ -409,10 +417,17 @@
     async def _handle_delegated(self, request, is_repeat, attempts):
         """Answer a request that another node has received."""
         route = self._route(request)
+        self._access.check_helped(request.account, route, self.routes)
         route = Route(**{**route.to_map(), "attempts": min(attempts, route.attempts)})
         request.limit_ms = min(request.received_ms + route.time_limit_ms, request.limit_ms)
         return await self._dispatch_here(request, route, is_repeat)
 
+    def _check_subquery(self, request):
+        """Refuse a subquery in the name of a client account that this node does not know."""
+        table = self.routes
+        if table is not None and request.account is not None:
+            self._access.check_helped(request.account, None, table)
+
     def _count_outcome(self, route, outcome):
         """Count a request by route, urgency and outcome."""
         name = "" if route is None else route.name
@@ -430,6 +445,7 @@
             route=getattr(route, "name", None),
             code=error.code,
             ran=error.ran,
+            account=request.account,
             detail=error.detail,
             retry_after_ms=error.retry_after_ms,
             age_ms=round(self.clock.now_ms() - request.received_ms),
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
@@ -22,6 +22,10 @@
     return Setting(value_type=float, default=default, minimum=minimum, maximum=maximum)
 
 
+def _flag(default):
+    return Setting(value_type=bool, default=default, minimum=None, maximum=None)
+
+
 def _integer(default, minimum, maximum):
     return Setting(value_type=int, default=default, minimum=minimum, maximum=maximum)
 
@@ -40,6 +44,8 @@
     "retry_ratio": _number(0.1, 0.0, 1.0),
     "retry_window_ms": _number(10_000.0, 1_000.0, 600_000.0),
     "retry_slack": _number(0.0, 0.0, 1_000_000.0),
+    "strict_revoke": _flag(False),
+    "revoke_ms": _number(5_000.0, 100.0, 600_000.0),
     "linger_ms": _number(2_600.0, 0.0, 60_000.0),
     "shutdown_ms": _number(5_600.0, 0.0, 600_000.0),
     "log_level": _string("info"),
@@ -88,7 +94,8 @@
 
 def _check(name, setting, value):
     accepted_types = (int, float) if setting.value_type is float else setting.value_type
-    if isinstance(value, bool) or not isinstance(value, accepted_types):
+    is_flag = setting.value_type is bool
+    if isinstance(value, bool) != is_flag or not isinstance(value, accepted_types):
         return Finding(name, f"{value!r} is not of type {setting.value_type.__name__}")
     if setting.minimum is not None and not setting.minimum <= value <= setting.maximum:
         return Finding(name, f"{value} is not in {setting.minimum}..{setting.maximum}")
--- a/packages/auburnhollow/src/auburnhollow/accounts/model.py
+++ b/packages/auburnhollow/src/auburnhollow/accounts/model.py
@@ -21,3 +21,15 @@
 def digest_of(key):
     """Return the digest by which a key is known, as hexadecimal text."""
     return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+def urgency_of(account, route, table):
+    """Return the urgency of a request: that of its account, otherwise that of its route.
+
+    :param account: name of the client account, or ``None``.
+    :param table: the :class:`~auburnhollow.routes.RouteTable` in force.
+    """
+    known = table.accounts.get(account)
+    if known is None or known.urgency is None:
+        return route.urgency
+    return known.urgency
--- a/packages/auburnhollow/src/auburnhollow/exceptions.py
+++ b/packages/auburnhollow/src/auburnhollow/exceptions.py
@@ -251,6 +251,22 @@
     ran = Ran.NO
 
 
+class Unauthorized(QueryError):
+    """The request needs a key, and has none that a client account holds."""
+
+    status = 401
+    code = "unauthorized"
+    ran = Ran.NO
+
+
+class QuotaSpent(QueryError):
+    """The client account has used up what it may ask for now."""
+
+    status = 429
+    code = "quota-spent"
+    ran = Ran.NO
+
+
 class NoRoute(QueryError):
     """No route matches the request."""
 
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -83,7 +83,8 @@
     after each failed call to the store, to fetch state from other nodes. ``on_revision`` is a
     callback that receives each newer store revision; it lets other nodes call
     :meth:`on_peer_revision`. ``on_evidence`` is a callback that receives the fingerprint and
-    the entries of each :class:`EvidenceUpdate`.
+    the entries of each :class:`EvidenceUpdate`. ``watch_ms`` is the longest time between two
+    confirmations of the local state while the store answers.
 
     >>> follower = Follower(feed, registry, clock, random)
     >>> task = asyncio.create_task(follower.run())
@@ -107,6 +108,7 @@
         "on_revision",
         "on_routes",
         "registry",
+        "watch_ms",
     )
 
     def __init__(self, feed, registry, clock, random, on_routes=None, metrics=None):
@@ -127,6 +129,7 @@
         self.on_routes = on_routes
         self.on_revision = None
         self.on_evidence = None
+        self.watch_ms = WATCH_TIMEOUT_MS
 
     @property
     def routes(self):
@@ -234,7 +237,7 @@
     async def _watch(self):
         """Return the next changes, or ``None`` when the watch was cancelled as unresponsive."""
         self._is_watch_stale = False
-        watch = self._feed.changes(self._revision, WATCH_TIMEOUT_MS)
+        watch = self._feed.changes(self._revision, self.watch_ms)
         self._watch_task = asyncio.get_running_loop().create_task(watch)
         try:
             return await self._watch_task
--- a/packages/auburnhollow/src/auburnhollow/relay/subquery_server.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subquery_server.py
@@ -23,11 +23,14 @@
 
     :param dispatcher: :class:`~auburnhollow.relay.Dispatcher`.
     :param is_open: function that returns whether this node accepts subqueries.
+    :param check: function that raises a :class:`~auburnhollow.exceptions.QueryError` for a request
+        that this node's configuration does not allow, or ``None``.
     """
 
-    __slots__ = ("_dispatcher", "_in_progress", "_is_open")
+    __slots__ = ("_check", "_dispatcher", "_in_progress", "_is_open")
 
-    def __init__(self, dispatcher, is_open):
+    def __init__(self, dispatcher, is_open, check=None):
+        self._check = check
         self._dispatcher = dispatcher
         self._is_open = is_open
         self._in_progress = {}
@@ -52,6 +55,8 @@
             raise NotReady("this node accepts no subqueries")
         dispatcher = self._dispatcher
         request, route = unpack_subquery(message, dispatcher.clock.now_ms(), ONE_WAY_MS)
+        if self._check is not None:
+            self._check(request)
         progress = SubqueryProgress(dispatcher, request, route, message.is_repeat)
         dispatcher.metrics.incr("relay.subqueries_taken")
         log_decision(
