Admit requests of client accounts within their quotas over all nodes

Cause: nothing limited an account; at 58 nodes most send under a request a second, so a share a node is nothing. Change: an owner an account (rendezvous hash) keeps a token bucket; a node admits one request ahead of the owner's answer while the account is far from its limit, and asks first near it; owners gossip which accounts are near; a deputy with a quarter share, then this node's share, where the owner does not answer; a part of the fleet grants its part of bound plus slack; new owners start with two tokens. Tokens go back where no server ran the request. Ruled out: fixed shares a node (0.02 requests/s each); counts by gossip alone (58 nodes each admit one before they hear).

--- a/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/fleet.py
@@ -5,7 +5,16 @@
 from auburnhollow.membership import Membership
 from auburnhollow.membership.messages import NearbyAsk, Ping, PingRequest
 
-URGENT_KINDS = ("configuration", "server", "ending", "survived", "cleared", "revision", "reach")
+URGENT_KINDS = (
+    "configuration",
+    "server",
+    "ending",
+    "survived",
+    "cleared",
+    "revision",
+    "reach",
+    "quota-tight",
+)
 
 
 class Fleet:
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -7,10 +7,14 @@
 import resource
 
 from auburnhollow.accounts.access import Access
+from auburnhollow.accounts.ledger import QuotaBounds
+from auburnhollow.accounts.quota import Quota
+from auburnhollow.accounts.quota_messages import QuotaAsk
+from auburnhollow.accounts.tight_gossip import TightGossip
 from auburnhollow.clock import Clock
 from auburnhollow.decisions import log_decision
 from auburnhollow.events import Recorder
-from auburnhollow.exceptions import NoRoute, NotReady, PeerError, QueryError, TooLarge
+from auburnhollow.exceptions import NoRoute, NotReady, PeerError, QueryError, Ran, TooLarge
 from auburnhollow.follow import ChangeServer, Follower, SharedFeed, StateExchange
 from auburnhollow.follow.messages import ChangesAsk, StateAsk
 from auburnhollow.follow.revision_gossip import RevisionGossip
@@ -92,6 +96,7 @@
         "peer_server",
         "peers",
         "quarantine",
+        "quota",
         "rates",
         "registry",
         "settings",
@@ -134,6 +139,7 @@
             aggregators,
         )
         self._wire_reach()
+        self._wire_quota()
         self._access = Access(settings.revoke_ms if settings.strict_revoke else None)
         self._subqueries = SubqueryServer(self.dispatcher, self._is_open, self._check_subquery)
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
@@ -248,7 +254,8 @@
                 await self._wait_for_first_read(request)
             route = self._route(request)
             self._access.admit(request, route, self.routes, self.follower.age_ms)
-            answer = await self._dispatch(request, route)
+            await self.quota.admit(request.account)
+            answer = await self._dispatch_admitted(request, route)
         except QueryError as error:
             self._log_error(request, route, error)
             raise
@@ -282,6 +289,7 @@
         }
 
     def _apply_routes(self, table):
+        self.quota.set_accounts(table.accounts)
         self._rate_shares.set_routes(table)
         self.dispatcher.forget(table)
 
@@ -331,6 +339,25 @@
         )
         QuarantineGossip(self.quarantine, self.fleet.gossiper, self.fleet.table, self.clock)
 
+    def _wire_quota(self):
+        settings = self.settings
+        bounds = QuotaBounds(
+            window_ms=settings.quota_window_ms,
+            excess=settings.quota_excess,
+            slack=settings.quota_slack,
+        )
+        self.quota = Quota(
+            bounds,
+            self.peers,
+            self.fleet.membership,
+            self.clock,
+            self.metrics,
+            known_nodes=1 + len(self._seeds()),
+        )
+        self.peer_server.on(QuotaAsk, self.quota.answer)
+        fleet = self.fleet
+        TightGossip(self.quota, settings.id, fleet.gossiper, fleet.table, self.clock)
+
     def _wire_reach(self):
         fleet = self.fleet
         dispatcher = self.dispatcher
@@ -403,6 +430,15 @@
             raise NoRoute(f"no route for {request.host} in version {table.version}")
         return route
 
+    async def _dispatch_admitted(self, request, route):
+        """Answer a request that has a token of its account, given back if no server has run it."""
+        try:
+            return await self._dispatch(request, route)
+        except QueryError as error:
+            if error.ran is Ran.NO:
+                self.quota.give_back(request.account)
+            raise
+
     async def _dispatch(self, request, route):
         limit_ms = request.received_ms + route.time_limit_ms
         request.limit_ms = min(limit_ms, request.limit_ms - ANSWER_MS)
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
@@ -24,6 +24,7 @@
         "servers": _server_statuses(node),
         "budgets_left": node.dispatcher.budgets_left(),
         "quarantined": node.quarantine.refused,
+        "quotas": node.quota.status,
     }
 
 
