--- a/packages/auburnhollow/src/auburnhollow/accounts/quota.py
+++ b/packages/auburnhollow/src/auburnhollow/accounts/quota.py
@@ -143,7 +143,6 @@
         if answer.granted:
             return
         self._metrics.incr_labelled("accounts.refused", account=name)
-        log_decision(log, "quota spent", account=name, retry_after_ms=round(answer.retry_ms))
         raise QuotaSpent("the account's quota is spent", retry_after_ms=answer.retry_ms)
 
     def give_back(self, name):
