Try a quarantined request at once if another one explains its ends

Cause: nodes set the end of a server against what they themselves ran on it.

Change: if all ends of a request in quarantine are also ends of another one in quarantine that has more, its trial is due at once, on any node. An answer clears it. The end of its trial's server starts the full sentence, as before.

Ruled out: lifting the sentence, since the relay would send a second crashing request to all shards once more; counting peers' reports as what else ran there, since a crashing request would then be convicted an attempt later.

New: the trial on any node, its repeat after 5 s, and one further server for a crashing request taken for an explained one.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -50,12 +50,14 @@
 
     ``canary`` is the lock held by the one call of the request that may run, ``is_in_trial`` whether
     the request is on trial. ``is_undecided`` is set while endings may turn out to have another
-    cause, ``is_witnessed`` if one of them was detected by this node.
+    cause, ``is_explained`` once another request in quarantine has turned out to explain all of
+    them, ``is_witnessed`` if one of them was detected by this node.
     """
 
     __slots__ = (
         "canary",
         "evidence",
+        "is_explained",
         "is_in_trial",
         "is_undecided",
         "is_witnessed",
@@ -66,6 +68,7 @@
     def __init__(self, ended):
         self.canary = asyncio.Lock()
         self.evidence = Evidence(ended)
+        self.is_explained = False
         self.is_in_trial = False
         self.is_undecided = False
         self.is_witnessed = False
@@ -147,10 +150,12 @@
             return
         suspect = self._suspects[fingerprint]
         self._lift_if_doubtful(fingerprint, suspect)
+        self._shorten_if_explained(fingerprint, suspect)
         if suspect.quarantined_until_ms is None:
             return
         remaining_ms = suspect.quarantined_until_ms - self._clock.now_ms()
-        if remaining_ms <= 0 and (suspect.is_in_trial or not self._may_probe(fingerprint)):
+        may_probe = suspect.is_explained or self._may_probe(fingerprint)
+        if remaining_ms <= 0 and (suspect.is_in_trial or not may_probe):
             remaining_ms = PROBE_RETRY_MS
         if remaining_ms > 0:
             raise self.refusal(fingerprint, ran, remaining_ms)
@@ -211,7 +216,8 @@
             suspect.is_in_trial = False
             if not self._is_refused(suspect):
                 # Neither an answer nor an ending: the next trial is due later.
-                suspect.quarantined_until_ms = self._clock.now_ms() + DOUBTFUL_QUARANTINE_MS
+                pause_ms = PROBE_RETRY_MS if suspect.is_explained else DOUBTFUL_QUARANTINE_MS
+                suspect.quarantined_until_ms = self._clock.now_ms() + pause_ms
 
     @asynccontextmanager
     async def canary(self, fingerprint):
@@ -488,7 +494,36 @@
         self._events.record("quarantine-lifted", fingerprint=fingerprint)
         self._report_evidence(fingerprint, suspect)
 
+    def _shorten_if_explained(self, fingerprint, suspect):
+        """Make the trial due, on any node, if another request explains all of the endings.
+
+        Peers report the two requests one by one, whichever nodes sent them. A second request that
+        crashes its servers looks the same, so it gets a trial and is not cleared.
+        """
+        if suspect.is_explained or not self._is_refused(suspect):
+            return
+        explaining = self._explaining(fingerprint, suspect)
+        if explaining is None:
+            return
+        suspect.is_explained = True
+        suspect.quarantined_until_ms = self._clock.now_ms()
+        suspect.quarantine_count = max(0, suspect.quarantine_count - 1)
+        log_decision(
+            log, "trial due, another request explains it", fingerprint=fingerprint, cause=explaining
+        )
+        self._events.record("quarantine-shortened", fingerprint=fingerprint, cause=explaining)
+
+    def _explaining(self, fingerprint, suspect):
+        """Return a request in quarantine that ended all these servers and more, or ``None``."""
+        for other, cause in self._suspects.items():
+            if other == fingerprint or cause.quarantined_until_ms is None or cause.is_explained:
+                continue
+            if cause.evidence.explains(suspect.evidence):
+                return other
+        return None
+
     def _start_quarantine(self, fingerprint, suspect):
+        suspect.is_explained = False
         suspect.is_undecided = False
         suspect.quarantine_count += 1
         first_ms = DOUBTFUL_QUARANTINE_MS if suspect.evidence.is_doubtful else QUARANTINE_MS
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -14,6 +14,8 @@
 MAX_DEATHS = 3
 INTERVAL_MS = 2_000.0
 MAX_ATTEMPTS = 60
+# The longest time for which a request may be refused that crashes no server.
+MAX_INNOCENT_MS = 5_000.0
 
 
 def new_quarantine(**options):
@@ -203,9 +205,12 @@
     assert attempts <= MAX_DEATHS
 
 
-def test_a_request_whose_servers_ended_under_another_one_of_other_nodes_is_not_refused():
+def nodes_whose_servers_ended_under_two_requests(may_probe=None):
+    """Return a clock and three linked quarantines: "ordinary" ran on two of the servers of "bad"."""
     clock = ManualClock()
-    nodes = [Quarantine(clock, Recorder("t", clock), random.Random(1)) for _ in range(3)]
+    nodes = []
+    for _ in range(3):
+        nodes.append(Quarantine(clock, Recorder("t", clock), random.Random(1), may_probe))
     for sender in nodes:
         peers = [node for node in nodes if node is not sender]
         sender.on_ending = lambda ending, peers=peers: [
@@ -217,7 +222,39 @@
     clock.advance(INTERVAL_MS)
     crash(nodes[1], "b", "the shard", "ordinary")
     crash(nodes[2], "b", "the shard", "bad")
+    return clock, nodes
+
+
+def test_a_request_whose_servers_ended_under_another_one_of_other_nodes_is_not_refused():
+    clock, nodes = nodes_whose_servers_ended_under_two_requests()
     clock.advance(SETTLE_MS)
     for quarantine in nodes:
         assert is_refused(quarantine, "bad")
         assert not is_refused(quarantine, "ordinary")
+
+
+def test_a_request_that_another_one_explains_is_tried_on_any_node():
+    _, nodes = nodes_whose_servers_ended_under_two_requests(may_probe=lambda _fingerprint: False)
+    for quarantine in nodes:
+        assert not is_refused(quarantine, "ordinary")
+        assert quarantine.needs_trial("ordinary")
+
+
+def test_a_request_that_another_one_explains_is_soon_tried_again_if_its_trial_shows_nothing():
+    clock, nodes = nodes_whose_servers_ended_under_two_requests()
+    assert not is_refused(nodes[0], "ordinary")
+    with nodes[0].trial("ordinary"):
+        pass
+    assert is_refused(nodes[0], "ordinary")
+    clock.advance(MAX_INNOCENT_MS)
+    assert not is_refused(nodes[0], "ordinary")
+
+
+def test_a_crashing_request_that_another_one_explains_ends_one_further_server():
+    clock, nodes = nodes_whose_servers_ended_under_two_requests()
+    assert not is_refused(nodes[1], "ordinary")
+    with nodes[1].trial("ordinary"):
+        crash(nodes[1], "d", "the shard", "ordinary")
+    clock.advance(MAX_INNOCENT_MS)
+    for quarantine in nodes:
+        assert is_refused(quarantine, "ordinary")
