Use a connection that stands although its timeout passed in a stall

Cause: after a stall of the node timers fire before sockets are read, so the time to connect, which aiohttp measured, ran out while the connection stood.

Ruled out: a longer time to connect, which callers of servers that are really away would pay. Left: our own interface's client (backends/client.py) still lets aiohttp measure its second; the probe of a server has three attempts.

--- a/packages/auburnhollow/src/auburnhollow/backends/connections.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/connections.py
@@ -5,6 +5,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from ..clock import Clock
+
 # Interim responses (1xx) are few; each costs time of the event loop.
 MAX_HEADS = 32
 
@@ -59,6 +61,27 @@
         transport.abort()
 
 
+class PatientConnector(aiohttp.TCPConnector):
+    """Opens connections, and uses one that stands although its timeout passed in a stall.
+
+    After a stall of this process timers fire before sockets are read: the time that the process
+    itself lost would count against the server. aiohttp's own ``sock_connect`` must be unset.
+
+    :param connect_timeout_ms: longest time to open a connection, in milliseconds.
+    :param options: as for :class:`aiohttp.TCPConnector`.
+    """
+
+    def __init__(self, connect_timeout_ms, **options):
+        super().__init__(**options)
+        self._clock = Clock()
+        self._connect_timeout_ms = connect_timeout_ms
+
+    # aiohttp has no option for this; it turns the TimeoutError into one of its own.
+    async def _wrap_create_connection(self, *args, **kwargs):
+        async with self._clock.patient_timeout(self._connect_timeout_ms):
+            return await super()._wrap_create_connection(*args, **kwargs)
+
+
 def use_handler(connector, make_handler):
     """Let a connector create its connections with ``make_handler``, a function of the loop.
 
--- a/packages/auburnhollow/src/auburnhollow/clock.py
+++ b/packages/auburnhollow/src/auburnhollow/clock.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from contextlib import asynccontextmanager
 
 MS_PER_SECOND = 1000.0
 # A busy loop fires timers a few milliseconds late; a longer delay means that the process stalled.
@@ -43,6 +44,25 @@
         """Return a context manager that raises :class:`TimeoutError` after ``duration_ms``."""
         return asyncio.timeout(max(0.0, duration_ms) / MS_PER_SECOND)
 
+    @asynccontextmanager
+    async def patient_timeout(self, duration_ms):
+        """Run the block as in :meth:`timeout`, but let it catch up after a stall of this process.
+
+        After a stall timers fire before sockets are read. Here, the block gets the time in which
+        what has already arrived is read, as with :meth:`catch_up`.
+
+        :param duration_ms: longest time for the block, in milliseconds.
+        :raises TimeoutError: when the block takes longer.
+        """
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + max(0.0, duration_ms) / MS_PER_SECOND
+        async with asyncio.timeout(None) as limit:
+            timer = loop.call_at(due_s, _end_unless_stalled, loop, limit, due_s)
+            try:
+                yield
+            finally:
+                timer.cancel()
+
     async def catch_up(self, due_ms):
         """Give the loop time to read received data if this process stalled past ``due_ms``.
 
@@ -58,6 +78,13 @@
         return True
 
 
+def _end_unless_stalled(loop, limit, due_s):
+    """Let a timeout that was due at ``due_s`` end now, or a little later after a stall."""
+    now_s = loop.time()
+    is_stalled = (now_s - due_s) * MS_PER_SECOND >= STALL_MS
+    limit.reschedule(now_s + CATCH_UP_MS / MS_PER_SECOND if is_stalled else now_s)
+
+
 class ManualClock(Clock):
     """A clock that tests advance by hand.
 
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -206,7 +206,7 @@
 
 
 def nodes_whose_servers_ended_under_two_requests(may_probe=None):
-    """Return a clock and three linked quarantines: "ordinary" ran on two of the servers of "bad"."""
+    """Return a clock and three linked quarantines; "ordinary" ran on two servers of "bad"."""
     clock = ManualClock()
     nodes = []
     for _ in range(3):
