Try one of two quarantined requests that ended the same servers

The trial reaches one server, so it needs no further ends on the other side. Test: of two requests with the same ends one stays refused and the other is tried; before, both were refused.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/evidence.py
@@ -187,12 +187,8 @@
     def explains(self, other):
         """Return whether every server that ended under another request ended under this one too.
 
-        That takes further endings under this one: otherwise nothing tells the two apart.
-
         :param other: :class:`Evidence`.
         """
-        if len(other) >= len(self):
-            return False
         for key, (_ending, at_ms) in other._known.items():
             _own, own_ms = self._known.get(key, (None, -math.inf))
             if abs(at_ms - own_ms) > CORRELATION_WINDOW_MS:
--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -514,7 +514,7 @@
         self._events.record("quarantine-shortened", fingerprint=fingerprint, cause=explaining)
 
     def _explaining(self, fingerprint, suspect):
-        """Return a request in quarantine that ended all these servers and more, or ``None``."""
+        """Return a request in quarantine under which all these servers ended too, or ``None``."""
         for other, cause in self._suspects.items():
             if other == fingerprint or cause.quarantined_until_ms is None or cause.is_explained:
                 continue
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -258,3 +258,12 @@
     clock.advance(MAX_INNOCENT_MS)
     for quarantine in nodes:
         assert is_refused(quarantine, "ordinary")
+
+
+def test_one_of_two_requests_that_ended_the_same_servers_is_tried_at_once():
+    clock, quarantine = new_quarantine()
+    for number in range(MAX_DEATHS):
+        crash(quarantine, f"server {number}", "shard", "bad", "ordinary")
+        clock.advance(INTERVAL_MS)
+    refused = [each for each in ("bad", "ordinary") if is_refused(quarantine, each)]
+    assert len(refused) == 1
