Put one gate before all sends: homes, evacuated data centres, turns at cold servers

Cause: requests with homes ran in other regions, evacuated data centres got requests, and cold servers got them as if warm; which servers may take a request was asked in many places. Change: gate/ holds the client; servers come from it, and it checks the facts again before the first byte. Evacuations follow the store, ordered by its revision, and pass between nodes. Cold servers get turns, combined with named rates in ServerChoice. Tests that replaced the dispatcher's client replace the gate's now; nothing they check has changed. Ruled out: checking only at the choice, as waits for turns and connections come after it.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -14,6 +14,7 @@
 from auburnhollow.follow.messages import ChangesAsk, StateAsk
 from auburnhollow.follow.revision_gossip import RevisionGossip
 from auburnhollow.follow.sharing import MAX_DIRECT_NODES
+from auburnhollow.gate import ColdServers, Evacuations, Gate, Homes
 from auburnhollow.hashing import first_ranked
 from auburnhollow.limits import ServerRates
 from auburnhollow.limits.rate_gossip import RateGossip
@@ -85,6 +86,7 @@
         "events",
         "fleet",
         "follower",
+        "gate",
         "is_stopping",
         "metrics",
         "peer_server",
@@ -112,8 +114,13 @@
         self._rate_shares = RateShares(self.fleet.membership, aggregators, self.registry)
         self.rates = ServerRates(self.clock, self._random, self._rate_shares.fraction)
         RateGossip(self.rates, self.fleet.gossiper, self.fleet.table, self.clock)
+        cold = ColdServers(self.clock, self._random, self._rate_shares.fraction)
+        self.registry.on_server = cold.hear
+        homes = Homes(settings.regions)
+        homes.routes = lambda: self.routes
+        self.gate = Gate(client, self.registry, self.metrics, homes, Evacuations(self.clock), cold)
         self.dispatcher = Dispatcher(
-            client,
+            self.gate,
             self.registry,
             ServerChoice(
                 settings.data_centre,
@@ -122,6 +129,7 @@
                 self._random,
                 self._count_calling_nodes,
                 self.rates,
+                sources=(cold,),
             ),
             self.clock,
             self._random,
@@ -136,6 +144,7 @@
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
         self.peer_server.on(SubqueryRepeats, self._subqueries.allow_repeats)
         shared = SharedFeed(feed, self.peers, self.fleet.membership, self.clock, self._random)
+        shared.has_evacuations = lambda: bool(self.gate.evacuations)
         self.follower = Follower(
             shared,
             self.registry,
@@ -143,6 +152,7 @@
             self._random,
             self._apply_routes,
             self.metrics,
+            self.gate.evacuations,
         )
         self.follower.on_evidence = self.quarantine.restore
         self._evidence_saver = None
@@ -270,12 +280,15 @@
             "node.cut_off": int(self.dispatcher.reach.is_cut_off),
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
             "relay.servers_limited": len(self.rates),
+            "gate.cold_servers": len(self.gate.cold),
+            "gate.evacuated": len(self.gate.evacuations),
             "relay.repeats_left": self.dispatcher.least_budget_left(),
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         }
 
     def _apply_routes(self, table):
         self._rate_shares.set_routes(table)
+        self.gate.cold.set_services(table.services)
         self.dispatcher.forget(table)
 
     def _dispatch_settings(self):
@@ -398,6 +411,7 @@
     async def _dispatch(self, request, route):
         limit_ms = request.received_ms + route.time_limit_ms
         request.limit_ms = min(limit_ms, request.limit_ms - ANSWER_MS)
+        self.gate.homes.enter(request, route)
         return await self._delegation.dispatch(request, route, self._dispatch_here)
 
     async def _dispatch_here(self, request, route, is_repeat=False):
@@ -409,6 +423,7 @@
     async def _handle_delegated(self, request, is_repeat, attempts):
         """Answer a request that another node has received."""
         route = self._route(request)
+        self.gate.homes.enter(request, route)
         route = Route(**{**route.to_map(), "attempts": min(attempts, route.attempts)})
         request.limit_ms = min(request.received_ms + route.time_limit_ms, request.limit_ms)
         return await self._dispatch_here(request, route, is_repeat)
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
@@ -24,6 +24,7 @@
         "servers": _server_statuses(node),
         "budgets_left": node.dispatcher.budgets_left(),
         "quarantined": node.quarantine.refused,
+        "evacuations": _evacuation_statuses(node),
     }
 
 
@@ -43,6 +44,7 @@
         "version": routes.version,
         "route": route.name,
         "prefix": route.prefix,
+        "homes": list(route.homes),
         "repeatable": route.repeatable,
         "attempts": route.attempts,
         "objective_ms": route.objective_ms,
@@ -56,16 +58,18 @@
 
 
 def _candidates(node, route, service):
-    """Return the usable servers of a service, cheapest first."""
+    """Return the servers of a service, those that may get requests first, cheapest first."""
     dispatcher = node.dispatcher
     choice = dispatcher.choice
     work_ms = dispatcher.times(route).work_ms
     candidates = []
-    for server in dispatcher.registry.usable(service):
-        candidates.append(
-            {**_server_status(node, server), "cost_ms": round(choice.cost_ms(server, work_ms))}
-        )
-    candidates.sort(key=lambda candidate: candidate["cost_ms"])
+    homes = route.homes or None
+    for server in dispatcher.registry.servers:
+        if server.service != service:
+            continue
+        status = _server_status(node, server, homes)
+        candidates.append({**status, "cost_ms": round(choice.cost_ms(server, work_ms))})
+    candidates.sort(key=lambda candidate: (bool(candidate["withheld"]), candidate["cost_ms"]))
     return candidates
 
 
@@ -78,7 +82,8 @@
         return {}
     data_centres = set()
     for shard in route.shards:
-        data_centres |= {server.data_centre for server in node.registry.usable(shard)}
+        servers = node.gate.servers(shard, route.homes or None)
+        data_centres |= {server.data_centre for server in servers}
     aggregators = {}
     for data_centre in sorted(data_centres):
         member = node.dispatcher.aggregators.choose_aggregator(data_centre)
@@ -100,6 +105,19 @@
     return statuses
 
 
+def _evacuation_statuses(node):
+    evacuations = node.gate.evacuations
+    statuses = {}
+    for data_centre in sorted(evacuations.active):
+        fact = evacuations.find(data_centre)
+        statuses[data_centre] = {
+            "revision": fact.revision,
+            "source": fact.source,
+            "age_ms": round(evacuations.age_ms(data_centre)),
+        }
+    return statuses
+
+
 def _server_statuses(node):
     statuses = {}
     for server in node.registry.servers:
@@ -107,7 +125,7 @@
     return statuses
 
 
-def _server_status(node, server):
+def _server_status(node, server, homes=None):
     now_ms = node.clock.now_ms()
     view = node.dispatcher.choice.view(server)
     return {
@@ -122,6 +140,8 @@
         "named_rate_per_s": node.rates.rate_per_s(server.incarnation),
         "turn_in_ms": round(node.rates.wait_ms(server.incarnation)),
         "passed_over": view.is_ejected(now_ms),
+        "cold_turn_in_ms": round(node.gate.cold.wait_ms(server.incarnation)),
+        "withheld": node.gate.reason(server, homes),
     }
 
 
--- a/packages/auburnhollow/src/auburnhollow/follow/__init__.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/__init__.py
@@ -2,6 +2,8 @@
 
 from .feed import (
     ConfigurationUpdate,
+    EvacuationEnd,
+    EvacuationUpdate,
     EvidenceUpdate,
     Feed,
     HistoryLost,
@@ -17,6 +19,8 @@
 __all__ = [
     "ChangeServer",
     "ConfigurationUpdate",
+    "EvacuationEnd",
+    "EvacuationUpdate",
     "EvidenceUpdate",
     "Feed",
     "Follower",
--- a/packages/auburnhollow/src/auburnhollow/follow/feed.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/feed.py
@@ -41,6 +41,18 @@
     __slots__ = ("fingerprint", "entries")
 
 
+class EvacuationUpdate(Record):
+    """The operators have evacuated a data centre; ``revision`` is that of the store's entry."""
+
+    __slots__ = ("data_centre", "revision")
+
+
+class EvacuationEnd(Record):
+    """The operators have taken back the evacuation of a data centre, at ``revision``."""
+
+    __slots__ = ("data_centre", "revision")
+
+
 class UnreadableEntry(Record):
     """An entry whose value could not be decoded; ``reason`` is the decoding error."""
 
@@ -48,9 +60,13 @@
 
 
 class StoreView(Record):
-    """A list of updates and the store revision up to which they are complete."""
+    """A list of updates and the store revision up to which they are complete.
+
+    ``has_evacuations`` is not set if the view comes from a node that knows of no evacuations.
+    """
 
-    __slots__ = ("updates", "revision")
+    __slots__ = ("updates", "revision", "has_evacuations")
+    DEFAULTS = {"has_evacuations": True}
 
 
 class Feed:
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -7,9 +7,12 @@
 from ..clock import MS_PER_SECOND
 from ..decisions import log_decision
 from ..exceptions import StoreUnavailable
+from ..gate.evacuations import Evacuations
 from ..metrics import Metrics
 from .feed import (
     ConfigurationUpdate,
+    EvacuationEnd,
+    EvacuationUpdate,
     EvidenceUpdate,
     HistoryLost,
     ServerRemoval,
@@ -59,6 +62,16 @@
         follower.on_evidence(update.fingerprint, update.entries)
 
 
+@apply_update.register
+def _(update: EvacuationUpdate, follower):
+    follower.evacuations.apply(update.data_centre, update.revision, True, follower.source)
+
+
+@apply_update.register
+def _(update: EvacuationEnd, follower):
+    follower.evacuations.apply(update.data_centre, update.revision, False, follower.source)
+
+
 @apply_update.register
 def _(update: UnreadableEntry, follower):
     log_decision(log, "entry not readable", level=logging.WARNING, **update.to_map())
@@ -77,6 +90,7 @@
     :param on_routes: callback that receives each newer
         :class:`~auburnhollow.routes.RouteTable`.
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
+    :param evacuations: :class:`~auburnhollow.gate.Evacuations`.
 
     ``change_log`` is the :class:`ChangeLog` served to other nodes. ``first_read_done`` is an event
     set once the first read has succeeded or failed. ``ask_peers`` is a coroutine function called
@@ -102,6 +116,7 @@
         "_watch_task",
         "ask_peers",
         "change_log",
+        "evacuations",
         "first_read_done",
         "on_evidence",
         "on_revision",
@@ -109,7 +124,16 @@
         "registry",
     )
 
-    def __init__(self, feed, registry, clock, random, on_routes=None, metrics=None):
+    def __init__(
+        self,
+        feed,
+        registry,
+        clock,
+        random,
+        on_routes=None,
+        metrics=None,
+        evacuations=None,
+    ):
         self._feed = feed
         self._clock = clock
         self._random = random
@@ -121,6 +145,7 @@
         self._confirmed_ms = None
         self._watch_task = None
         self.registry = registry
+        self.evacuations = Evacuations(clock) if evacuations is None else evacuations
         self.change_log = ChangeLog()
         self.ask_peers = None
         self.first_read_done = asyncio.Event()
@@ -143,6 +168,11 @@
         """Whether the last answer came from the store itself rather than from another node."""
         return getattr(self._feed, "is_direct", True)
 
+    @property
+    def source(self):
+        """Where updates come from: the store, or another node."""
+        return "store" if self.is_direct else "peer"
+
     @property
     def age_ms(self):
         """Milliseconds since the store last confirmed the local state; ``None`` if it never did."""
@@ -262,12 +292,18 @@
 
     def _apply_snapshot(self, view):
         servers = []
+        evacuated = {}
         for update in view.updates:
             if isinstance(update, ServerUpdate):
                 servers.append(update.server)
                 continue
+            if isinstance(update, EvacuationUpdate):
+                evacuated[update.data_centre] = update.revision
+                continue
             apply_update(update, self)
         self.registry.replace(servers)
+        if view.has_evacuations:
+            self.evacuations.replace(evacuated, view.revision, self.source)
         log_decision(log, "store read", revision=view.revision, servers=len(servers))
 
     def _on_store_reached(self):
--- a/packages/auburnhollow/src/auburnhollow/follow/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/messages.py
@@ -9,6 +9,8 @@
 from ..servers import Server, ServerState
 from .feed import (
     ConfigurationUpdate,
+    EvacuationEnd,
+    EvacuationUpdate,
     EvidenceUpdate,
     ServerRemoval,
     ServerUpdate,
@@ -21,10 +23,12 @@
     """Requests a node's known state of the store.
 
     ``version`` is the configuration version that the requester has, 0 for none. ``revision`` is the
-    store revision of the servers that it knows, ``None`` for none.
+    store revision of the servers that it knows, ``None`` for none. ``has_evacuations`` is set if it
+    knows of evacuated data centres; builds that know of none can't answer it then.
     """
 
-    __slots__ = ("version", "revision")
+    __slots__ = ("version", "revision", "has_evacuations")
+    DEFAULTS = {"has_evacuations": False}
 
 
 @register("changes-ask")
@@ -53,10 +57,13 @@
 
     ``revision`` is the store revision of this state and ``age_ms`` the time since the store last
     confirmed it. ``table`` is the packed configuration and ``servers`` the packed servers; each is
-    ``None`` when the requester already has the same or a newer state.
+    ``None`` when the requester already has the same or a newer state. ``evacuations`` lists what
+    is known of evacuated data centres, as :meth:`~auburnhollow.gate.Evacuations.known`; ``None``
+    from builds that know of none.
     """
 
-    __slots__ = ("revision", "age_ms", "table", "servers")
+    __slots__ = ("revision", "age_ms", "table", "servers", "evacuations")
+    DEFAULTS = {"evacuations": None}
 
 
 @lru_cache(maxsize=2)
@@ -161,6 +168,16 @@
     return ["evidence", update.to_list()]
 
 
+@pack_update.register
+def _(update: EvacuationUpdate):
+    return ["evacuated", update.to_list()]
+
+
+@pack_update.register
+def _(update: EvacuationEnd):
+    return ["evacuation-end", update.to_list()]
+
+
 @pack_update.register
 def _(update: UnreadableEntry):
     return ["unreadable", [update.key, update.reason]]
@@ -181,6 +198,10 @@
             return ServerRemoval(id=value)
         if kind == "evidence":
             return EvidenceUpdate.from_list(value)
+        if kind == "evacuated":
+            return EvacuationUpdate.from_list(value)
+        if kind == "evacuation-end":
+            return EvacuationEnd.from_list(value)
         return UnreadableEntry.from_list(value)
     except (TypeError, ValueError) as error:
         raise ProtocolError(f"invalid packed update: {error!r}") from error
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -8,7 +8,7 @@
 from ..decisions import log_decision
 from ..exceptions import PeerError, StoreUnavailable
 from ..hashing import first_ranked, ranked
-from .feed import ConfigurationUpdate, Feed, HistoryLost, ServerUpdate, StoreView
+from .feed import ConfigurationUpdate, EvacuationUpdate, Feed, HistoryLost, ServerUpdate, StoreView
 from .messages import (
     Changes,
     ChangesAsk,
@@ -114,6 +114,9 @@
     :param membership: :class:`~auburnhollow.membership.Membership`.
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param random: a :class:`random.Random`.
+
+    ``has_evacuations`` is a function that returns whether this node knows of evacuated data
+    centres; a watcher must then tell which there are.
     """
 
     __slots__ = (
@@ -124,6 +127,7 @@
         "_peers",
         "_random",
         "_store",
+        "has_evacuations",
     )
 
     def __init__(self, store, peers, membership, clock, random):
@@ -134,6 +138,7 @@
         self._membership = membership
         self._random = random
         self._is_direct = True
+        self.has_evacuations = lambda: False
 
     @property
     def is_direct(self):
@@ -166,7 +171,7 @@
 
     async def _read_from(self, address):
         """Return a watcher's state, or ``None`` when it has no fresh state or does not answer."""
-        ask = StateAsk(version=NO_VERSION, revision=None)
+        ask = StateAsk(version=NO_VERSION, revision=None, has_evacuations=self.has_evacuations())
         try:
             answer = await self._peers.ask(address, ask, PEER_WATCH_MS + PEER_TIMEOUT_MARGIN_MS)
             if answer.table is None or answer.age_ms is None or answer.age_ms > MAX_STATE_AGE_MS:
@@ -174,10 +179,17 @@
             updates = [ConfigurationUpdate(table=unpack_table(answer.table))]
             for server in unpack_servers(answer.servers):
                 updates.append(ServerUpdate(server=server))
+            for data_centre, revision, is_active in answer.evacuations or ():
+                if is_active:
+                    updates.append(EvacuationUpdate(data_centre=data_centre, revision=revision))
         except PeerError as error:
             self._log_passed_over(address, error)
             return None
-        return StoreView(updates=updates, revision=answer.revision)
+        return StoreView(
+            updates=updates,
+            revision=answer.revision,
+            has_evacuations=answer.evacuations is not None,
+        )
 
     async def _changes_from(self, address, revision):
         """Return the changes from a watcher, or ``None`` when it does not answer.
--- a/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
@@ -58,7 +58,13 @@
         servers = None
         if follower.age_ms is not None and _is_newer(revision, message.revision):
             revision, servers = self._pack_servers(message.revision)
-        return StateAnswer(revision=revision, age_ms=follower.age_ms, table=table, servers=servers)
+        return StateAnswer(
+            revision=revision,
+            age_ms=follower.age_ms,
+            table=table,
+            servers=servers,
+            evacuations=follower.evacuations.known() or ([] if message.has_evacuations else None),
+        )
 
     async def ask(self):
         """Request state from a few random nodes and apply what is newer than the local state.
@@ -108,6 +114,8 @@
         follower = self._follower
         if answer.table is not None:
             follower.apply_routes(unpack_table(answer.table))
+        for data_centre, known_revision, is_active in answer.evacuations or ():
+            follower.evacuations.apply(data_centre, known_revision, is_active, "peer")
         if answer.age_ms is None or answer.servers is None:
             return
         if follower.age_ms is not None and follower.age_ms <= answer.age_ms:
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/gate/__init__.py
@@ -0,0 +1,9 @@
+"""One gate between all that sends requests and the backend servers."""
+
+from .cold import ColdServers
+from .evacuations import Evacuations
+from .gate import Gate
+from .homes import Homes, common_homes
+from .reasons import Reason
+
+__all__ = ["ColdServers", "Evacuations", "Gate", "Homes", "Reason", "common_homes"]
--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -38,6 +38,9 @@
     :param random: a :class:`random.Random`.
     :param count_nodes: function that returns the known number of nodes that call servers.
     :param rates: :class:`~auburnhollow.limits.ServerRates`, or ``None`` if servers name none.
+    :param sources: further sources of turns; each has a length, and the methods ``wait_ms``,
+        ``take`` and ``forget`` of :class:`~auburnhollow.limits.ServerRates`. A request waits for
+        all of them.
     """
 
     __slots__ = (
@@ -49,16 +52,20 @@
         "_rates",
         "_regions",
         "_round_trips_ms",
+        "_sources",
         "_views",
     )
 
-    def __init__(self, data_centre, regions, clock, random, count_nodes=lambda: 1, rates=None):
+    def __init__(
+        self, data_centre, regions, clock, random, count_nodes=lambda: 1, rates=None, sources=()
+    ):
         self._data_centre = data_centre
         self._regions = regions
         self._clock = clock
         self._random = random
         self._count_nodes = count_nodes
         self._rates = rates
+        self._sources = list(sources) if rates is None else [rates, *sources]
         self._connection_limits = {}
         self._round_trips_ms = {}
         self._views = {}
@@ -89,19 +96,19 @@
 
     @property
     def is_limited(self):
-        """Whether servers have named rates."""
-        return self._rates is not None and len(self._rates) > 0
+        """Whether requests must wait for turns at some servers."""
+        return any(len(source) for source in self._sources)
 
     def wait_ms(self, server):
         """Return how long a request must wait for this node's turn at a server."""
-        return 0.0 if self._rates is None else self._rates.wait_ms(server.incarnation)
+        incarnation = server.incarnation
+        return max((source.wait_ms(incarnation) for source in self._sources), default=0.0)
 
     def take_turn(self, server):
         """Use this node's next turn at a server; return how long the request must wait for it."""
-        if self._rates is None:
-            return 0.0
-        wait_ms = self._rates.wait_ms(server.incarnation)
-        self._rates.take(server.incarnation)
+        wait_ms = self.wait_ms(server)
+        for source in self._sources:
+            source.take(server.incarnation)
         return wait_ms
 
     def hear(self, server, notice, asked_ms):
@@ -163,8 +170,8 @@
     def forget(self, servers):
         """Drop the views of all servers except these and those with calls in progress."""
         kept = {server.incarnation for server in servers}
-        if self._rates is not None:
-            self._rates.forget(kept)
+        for source in self._sources:
+            source.forget(kept)
         for incarnation in [one for one in self._views if one not in kept]:
             if not self._views[incarnation].calls:
                 del self._views[incarnation]
--- a/packages/auburnhollow/src/auburnhollow/relay/delegation.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/delegation.py
@@ -153,7 +153,7 @@
         error = None
         while len(asked) < MAX_NODES:
             remaining_ms = request.limit_ms - self._clock.now_ms()
-            member = self._choose(asked)
+            member = self._choose(request, asked)
             if member is None or remaining_ms <= MIN_REMAINING_MS:
                 break
             asked.append(member.id)
@@ -231,17 +231,22 @@
             log, "delegated request lost", request.id, through=member.id, error=repr(error)
         )
 
-    def _choose(self, asked):
+    def _choose(self, request, asked):
         """Return the node with the fewest requests of this node, or ``None``.
 
+        It lies in a home of the request.
+
         It is one of this data centre if it has as many nodes that reach servers as nodes that do
         not: otherwise these few would get all of the requests.
         """
         now_ms = self._clock.now_ms()
+        gate = self._dispatcher.gate
         candidates = []
         for member in self._reach_gossip.reaching():
             if member.id in asked or self._avoid_until_ms.get(member.id, 0.0) > now_ms:
                 continue
+            if not gate.may_hold(request, member.data_centre):
+                continue
             candidates.append(member)
         if not candidates:
             return None
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -31,7 +31,7 @@
 class Dispatcher:
     """Sends requests to one service, or to each shard of a route.
 
-    :param client: :class:`~auburnhollow.relay.ServerClient`.
+    :param gate: :class:`~auburnhollow.gate.Gate`, which sends the requests.
     :param registry: :class:`~auburnhollow.servers.ServerRegistry`.
     :param choice: :class:`~auburnhollow.relay.choice.ServerChoice`.
     :param clock: :class:`~auburnhollow.clock.Clock`.
@@ -57,9 +57,9 @@
         "_times",
         "aggregators",
         "choice",
-        "client",
         "clock",
         "end_checks",
+        "gate",
         "is_stranded",
         "metrics",
         "quarantine",
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        client,
+        gate,
         registry,
         choice,
         clock,
@@ -82,7 +82,7 @@
         aggregators=None,
     ):
         self.aggregators = aggregators
-        self.client = client
+        self.gate = gate
         self.registry = registry
         self.choice = choice
         self.clock = clock
@@ -94,7 +94,7 @@
         self._slack = self._new_slack()
         self._budgets = {}
         self._times = {}
-        self.readmission = Readmission(client, registry, choice, clock)
+        self.readmission = Readmission(gate, registry, choice, clock)
         self.end_checks = EndChecks(clock, self._can_connect, self._neighbours, self._elsewhere)
         self.reach = Reach(clock, random, self._can_connect, registry)
         self.is_stranded = False
@@ -211,7 +211,7 @@
         self.choice.forget(self.registry.servers)
 
     async def _can_connect(self, server):
-        return await self.client.can_connect(server)
+        return await self.gate.can_connect(server)
 
     def _neighbours(self, server):
         """Return the other servers in the data centre of a server that are not known as down."""
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -182,8 +182,7 @@
 
     def _reject_unanswerable(self):
         """Reject the request at once if too few services have servers."""
-        registry = self._dispatcher.registry
-        possible = sum(1 for subrequest in self._subrequests if registry.usable(subrequest.service))
+        possible = sum(1 for subrequest in self._subrequests if self._servers(subrequest))
         if possible < self._min_answers:
             raise self._dispatcher.unavailable(
                 f"{possible} of {len(self._subrequests)} services have servers,"
@@ -283,7 +282,7 @@
         )
 
     def _least_wait_ms(self, subrequest):
-        servers = self._dispatcher.registry.usable(subrequest.service)
+        servers = self._servers(subrequest)
         return min((self._choice.wait_ms(server) for server in servers), default=math.inf)
 
     def send_first(self, subrequest, server=None):
@@ -302,15 +301,20 @@
         :param until_ms: when an answer must be expected from a server that this node must wait
             for, as it has named a rate; by default the route's objective.
         """
-        servers = self._dispatcher.registry.usable(subrequest.service)
+        servers = self._servers(subrequest)
         until_ms = self._wait_until_ms if until_ms is None else until_ms
         return self._choice.choose(servers, self._times.work_ms, subrequest.tried, until_ms)
 
+    def _servers(self, subrequest):
+        """Return the servers that may get the subrequest now."""
+        return self._dispatcher.gate.servers_for(self._request, subrequest.service)
+
     def _send(self, subrequest, server=None):
         """Send to ``server`` or to the best one left; return whether the request was sent."""
         server = server or self._choose(subrequest)
         if server is None or self._request.limit_ms - self._clock.now_ms() < MIN_CALL_MS:
             return False
+        cold_turn = self._dispatcher.gate.cold.turns(server.incarnation)
         wait_ms = self._choice.take_turn(server)
         now_ms = self._clock.now_ms() + wait_ms
         view = self._choice.view(server)
@@ -324,11 +328,14 @@
         subrequest.calls.append(call)
         subrequest.all_calls.append(call)
         call.keep_alive = view.began(call, now_ms)
-        call.task = asyncio.get_running_loop().create_task(self._call(call, wait_ms))
+        call.task = asyncio.get_running_loop().create_task(self._call(call, wait_ms, cold_turn))
         return True
 
-    async def _call(self, call, wait_ms):
-        """Make one call, after ``wait_ms`` milliseconds, and record its outcome."""
+    async def _call(self, call, wait_ms, cold_turn):
+        """Make one call, after ``wait_ms`` milliseconds, and record its outcome.
+
+        :param cold_turn: the turns of the server while it is cold, or ``None``.
+        """
         subrequest = call.subrequest
         is_running = False
         try:
@@ -339,12 +346,13 @@
             if self._before_send is not None:
                 await self._before_send(subrequest)
             remaining_ms = self._request.limit_ms - self._clock.now_ms()
-            answer = await self._dispatcher.client.send(
+            answer = await self._dispatcher.gate.send(
                 call.server,
                 self._request,
                 remaining_ms,
                 keep_alive=call.keep_alive,
                 on_write=call.mark_written,
+                cold_turn=cold_turn,
             )
         except BackendDied as error:
             self._record_failure(call, await self._confirmed(call, error))
@@ -394,8 +402,6 @@
         await self._clock.sleep(wait_ms)
         if self._is_complete or call.subrequest.answer is not None:
             raise BackendWithheld(f"{server.id}: the service has answered meanwhile")
-        if not self._dispatcher.registry.is_usable(server):
-            raise BackendWithheld(f"{server.id}: takes no new requests any more")
         if self._quarantine.is_refused(self._fingerprint):
             raise BackendWithheld(f"{server.id}: the request is in quarantine meanwhile")
 
--- a/packages/auburnhollow/src/auburnhollow/relay/readmission.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/readmission.py
@@ -16,16 +16,16 @@
 class Readmission:
     """Probes unreachable servers with connections, without a request, until they accept one.
 
-    :param client: :class:`~auburnhollow.relay.ServerClient`.
+    :param gate: :class:`~auburnhollow.gate.Gate`.
     :param registry: :class:`~auburnhollow.servers.ServerRegistry`.
     :param choice: :class:`~auburnhollow.relay.choice.ServerChoice`.
     :param clock: :class:`~auburnhollow.clock.Clock`.
     """
 
-    __slots__ = ("_choice", "_client", "_clock", "_registry", "_tasks")
+    __slots__ = ("_choice", "_clock", "_gate", "_registry", "_tasks")
 
-    def __init__(self, client, registry, choice, clock):
-        self._client = client
+    def __init__(self, gate, registry, choice, clock):
+        self._gate = gate
         self._registry = registry
         self._choice = choice
         self._clock = clock
@@ -47,7 +47,7 @@
             await self._clock.sleep(delay_ms)
             if not view.is_down or not self._registry.knows(server):
                 return
-            if await self._client.can_connect(server):
+            if await self._gate.can_connect(server):
                 view.mark_up()
                 log_decision(log, "server takes connections again", server=server.id)
                 return
--- a/packages/auburnhollow/src/auburnhollow/relay/repeats.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/repeats.py
@@ -55,7 +55,7 @@
 
     def try_spend(self, subrequest):
         """Take one repeat from the service's budget; return whether it is allowed."""
-        servers = self._dispatcher.registry.usable(subrequest.service)
+        servers = self._dispatcher.gate.servers_for(self._request, subrequest.service)
         if all(server.id in subrequest.tried for server in servers):
             return False
         if self._dispatcher.budget(subrequest.service).try_spend():
--- a/packages/auburnhollow/src/auburnhollow/relay/subqueries.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subqueries.py
@@ -127,6 +127,7 @@
         return (
             self._aggregators is not None
             and len(subrequests) >= MIN_SHARDS
+            and self._dispatcher.gate.may_hold(self._request, data_centre)
             and self._aggregators.choose_aggregator(data_centre) is not None
         )
 
@@ -136,6 +137,8 @@
             return False
         if len(subrequests) < MIN_SHARDS:
             return False
+        if not self._dispatcher.gate.may_hold(self._request, data_centre):
+            return False
         member = self._aggregators.choose_aggregator(data_centre)
         if member is None:
             return False
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_connections.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_connections.py
@@ -115,7 +115,7 @@
         bed = new_bed()
         bed.allow_repeats(*SHARDS)
         delayed_reads = DelayedReads(bed.servers)
-        bed.dispatcher.client = delayed_reads
+        bed.dispatcher.gate.use_client(delayed_reads)
         task = asyncio.create_task(
             bed.dispatcher.gather(make_request(bed.clock), make_route(SHARDS))
         )
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_crashing_requests.py
@@ -103,7 +103,7 @@
 def new_bed(services):
     bed = RelayBed(dict.fromkeys(services, (HOME,) * 8))
     bed.servers = CrashingServers(bed.clock, work_ms=60.0)
-    bed.dispatcher.client = bed.servers
+    bed.dispatcher.gate.use_client(bed.servers)
     bed.allow_repeats(*services)
     return bed
 
@@ -245,7 +245,7 @@
     async def scenario():
         bed = RelayBed(dict.fromkeys(services, replicas))
         bed.servers = CrashingServers(bed.clock, work_ms=60.0)
-        bed.dispatcher.client = bed.servers
+        bed.dispatcher.gate.use_client(bed.servers)
         for number in range(3):
             request = make_request(bed.clock, f"bad-{number}", target=CRASH_PATH)
             await dispatch(bed, make_route(services, attempts=1), request)
@@ -289,7 +289,7 @@
     servers = PersistentServers(clock, work_ms=60.0)
     for bed in beds:
         bed.servers = servers
-        bed.dispatcher.client = servers
+        bed.dispatcher.gate.use_client(servers)
         bed.allow_repeats(*services)
 
     def publish(origin, ending):
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_named_rates.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_named_rates.py
@@ -55,7 +55,7 @@
     bed = RelayBed(dict.fromkeys(services, (HOME,) * replicas))
     bed.servers = LimitedServers(bed.clock)
     dispatcher = bed.dispatcher
-    dispatcher.client = bed.servers
+    dispatcher.gate.use_client(bed.servers)
     rates = ServerRates(bed.clock, dispatcher._random, lambda _incarnation: 1.0)
     dispatcher.choice = ServerChoice(HOME, REGIONS, bed.clock, dispatcher._random, rates=rates)
     dispatcher.readmission._choice = dispatcher.choice
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_silent_ends.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_silent_ends.py
@@ -84,7 +84,7 @@
 def new_bed(services, data_centres=(HOME,) * 8):
     bed = RelayBed(dict.fromkeys(services, data_centres))
     bed.servers = VanishingServers(bed.clock)
-    bed.dispatcher.client = bed.servers
+    bed.dispatcher.gate.use_client(bed.servers)
     bed.allow_repeats(*services)
     return bed
 
@@ -235,7 +235,7 @@
     async def scenario():
         bed = new_bed(services)
         bed.servers = UnreachableServers(bed.clock)
-        bed.dispatcher.client = bed.servers
+        bed.dispatcher.gate.use_client(bed.servers)
         fingerprint = make_request(bed.clock).fingerprint
         for number in range(6):
             bed.servers.is_down = number % 2 == 1
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_subquery.py
@@ -138,7 +138,7 @@
             limits.append((request.id, request.target, remaining_ms))
             return await send(server, request, remaining_ms, **options)
 
-        fleet.other.dispatcher.client = type("Client", (), {"send": staticmethod(note)})()
+        fleet.other.dispatcher.gate.use_client(type("Client", (), {"send": staticmethod(note)})())
         await fleet.gather()
         return limits
 
--- a/packages/auburnhollow/src/auburnhollow/servers/registry.py
+++ b/packages/auburnhollow/src/auburnhollow/servers/registry.py
@@ -60,12 +60,22 @@
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
 
+    ``on_server`` is a function that is called with each entry put in force, or ``None``.
+
     >>> registry.put(server)
     >>> registry.usable("search-3")
     [Server(id='i-1', ...)]
     """
 
-    __slots__ = ("_by_id", "_clock", "_grace_until_ms", "_missing", "_outage", "_usable")
+    __slots__ = (
+        "_by_id",
+        "_clock",
+        "_grace_until_ms",
+        "_missing",
+        "_outage",
+        "_usable",
+        "on_server",
+    )
 
     def __init__(self, clock):
         self._clock = clock
@@ -74,6 +84,7 @@
         self._usable = {}
         self._outage = False
         self._grace_until_ms = None
+        self.on_server = None
 
     def __len__(self):
         return len(self._by_id)
@@ -145,6 +156,8 @@
         self._clear_usable(server.service)
         if known is not None:
             self._clear_usable(known.service)
+        if self.on_server is not None:
+            self.on_server(server)
 
     def remove(self, server_id):
         """Remove a server whose entry is gone, but not at once if an outage may be the cause."""
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -4,6 +4,7 @@
 
 from auburnhollow.events import Recorder
 from auburnhollow.exceptions import BackendCut, BackendRefused, BackendUnreachable
+from auburnhollow.gate import ColdServers, Evacuations, Gate, Homes
 from auburnhollow.metrics import Metrics
 from auburnhollow.quarantine import Quarantine
 from auburnhollow.relay import Answer, Dispatcher, DispatchSettings, Request, ServerClient
@@ -148,7 +149,7 @@
     :param aggregators: :class:`~auburnhollow.relay.aggregators.Aggregators`, or ``None``.
     """
 
-    __slots__ = ("clock", "dispatcher", "registry", "servers")
+    __slots__ = ("clock", "dispatcher", "gate", "registry", "servers")
 
     def __init__(
         self, replicas, retry_ratio=1.0, seed=1, work_ms=20.0, home=HOME, aggregators=None
@@ -160,13 +161,18 @@
         for service, data_centres in replicas.items():
             for number, data_centre in enumerate(data_centres):
                 self.registry.put(make_server(f"{service}-{number}", service, data_centre))
+        metrics = Metrics()
+        cold = ColdServers(self.clock, rng, lambda _incarnation: 1.0)
+        self.registry.on_server = cold.hear
+        evacuations = Evacuations(self.clock)
+        self.gate = Gate(self.servers, self.registry, metrics, Homes(REGIONS), evacuations, cold)
         self.dispatcher = Dispatcher(
-            self.servers,
+            self.gate,
             self.registry,
-            ServerChoice(home, REGIONS, self.clock, rng),
+            ServerChoice(home, REGIONS, self.clock, rng, sources=(cold,)),
             self.clock,
             rng,
-            Metrics(),
+            metrics,
             Quarantine(self.clock, Recorder("node-1", self.clock), rng),
             DispatchSettings(retry_ratio=retry_ratio, retry_window_ms=10_000.0, retry_slack=0.0),
             lambda: 1,
