--- a/packages/auburnhollow/src/auburnhollow/gate/cold.py
+++ b/packages/auburnhollow/src/auburnhollow/gate/cold.py
@@ -18,13 +18,12 @@
     ``until_ms`` is when the server is warm, ``next_ms`` the time of the next turn.
     """
 
-    __slots__ = ("next_ms", "rate_per_s", "sequence", "until_ms")
+    __slots__ = ("next_ms", "rate_per_s", "until_ms")
 
     def __init__(self, rate_per_s, next_ms):
         self.rate_per_s = rate_per_s
         self.next_ms = next_ms
         self.until_ms = -math.inf
-        self.sequence = None
 
 
 class ColdServers:
@@ -42,7 +41,7 @@
     :param share: function of an incarnation that returns this node's share of its rate, 0 to 1.
     """
 
-    __slots__ = ("_clock", "_cold", "_random", "_services", "_share")
+    __slots__ = ("_clock", "_cold", "_heard", "_random", "_services", "_share")
 
     def __init__(self, clock, random, share):
         self._clock = clock
@@ -50,6 +49,7 @@
         self._share = share
         self._services = {}
         self._cold = {}
+        self._heard = {}
 
     def __len__(self):
         return len(self._cold)
@@ -67,13 +67,14 @@
         rate_per_s = None if service is None else service.cold_rate_per_s
         if not rate_per_s:
             return
-        turns = self._cold.get(server.incarnation)
-        if turns is not None and server.sequence == turns.sequence:
+        if self._heard.get(server.incarnation) == server.sequence:
             return
+        self._heard[server.incarnation] = server.sequence
         if server.warm_up_ms <= 0:
             self._end(server.incarnation, "entry")
             return
         now_ms = self._clock.now_ms()
+        turns = self.turns(server.incarnation)
         if turns is None:
             interval_ms = self._interval_ms(server.incarnation, rate_per_s)
             turns = ColdTurns(rate_per_s, now_ms + self._random.random() * interval_ms)
@@ -87,7 +88,6 @@
                 sequence=server.sequence,
                 source="entry",
             )
-        turns.sequence = server.sequence
         turns.until_ms = now_ms + server.warm_up_ms
 
     def turns(self, incarnation):
@@ -121,8 +121,9 @@
 
         :param known: set of the incarnations that are known.
         """
-        for incarnation in [each for each in self._cold if each not in known]:
-            del self._cold[incarnation]
+        for incarnation in [each for each in self._heard if each not in known]:
+            del self._heard[incarnation]
+            self._cold.pop(incarnation, None)
 
     def _end(self, incarnation, source):
         if self._cold.pop(incarnation, None) is not None:
