--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -14,7 +14,7 @@
 from auburnhollow.follow.messages import ChangesAsk, StateAsk
 from auburnhollow.follow.revision_gossip import RevisionGossip
 from auburnhollow.follow.sharing import MAX_DIRECT_NODES
-from auburnhollow.gate import ColdServers, Evacuations, Gate, Homes
+from auburnhollow.gate import ColdServers, EvacuationGossip, Evacuations, Gate, Homes
 from auburnhollow.hashing import first_ranked
 from auburnhollow.limits import ServerRates
 from auburnhollow.limits.rate_gossip import RateGossip
@@ -119,6 +119,7 @@
         homes = Homes(settings.regions)
         homes.routes = lambda: self.routes
         self.gate = Gate(client, self.registry, self.metrics, homes, Evacuations(self.clock), cold)
+        EvacuationGossip(self.gate.evacuations, self.fleet.gossiper, self.fleet.table)
         self.dispatcher = Dispatcher(
             self.gate,
             self.registry,
