--- a/packages/auburnhollow-operator/src/auburnhollow_operator/relay_formatting.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/relay_formatting.py
@@ -64,6 +64,11 @@
         text += f", a late call in progress for {server['late_ms']} ms"
     if server["passed_over"]:
         text += ", passed over"
+    # Nodes of earlier builds do not say it.
+    if server.get("cold_turn_in_ms"):
+        text += f", cold, next turn in {server['cold_turn_in_ms']} ms"
+    if server.get("withheld"):
+        text += f", gets nothing: {server['withheld']}"
     return text
 
 
