Check the relay nodes' configuration before it is sent

Cause: operators asked for it; the check and diff that exist know our own interface's format alone. Change: auburnhollow relay_check: errors with their place, entries that can never match, limits that contradict each other, differences from the version in force (read from the store, or a file). It works on decoded types; the platform's format stays in platform/configuration.py. Ruled out: checks at the nodes, which must take what the store has accepted.

--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import getpass
+import importlib
 import sys
 from contextlib import asynccontextmanager
 
@@ -30,7 +31,7 @@
 )
 from auburnhollow_node.relay.settings import check_settings
 
-from . import formatting, html_timeline, relay_formatting, request_trace
+from . import formatting, html_timeline, relay_formatting, request_trace, table_check
 from .fleet import FleetClient
 
 MAX_WRITE_ATTEMPTS = 20
@@ -38,6 +39,7 @@
 CONFIRMATION_POLL_INTERVAL_MS = 200
 DEFAULT_WAIT_S = 30
 DEFAULT_TIMELINE_MINUTES = 15
+DEFAULT_ADAPTER = "auburnhollow_platform"
 EMPTY_DOCUMENT = {"data_centres": [], "services": [], "servers": [], "draining": []}
 
 
@@ -45,6 +47,10 @@
     """Some live nodes did not confirm that they use a revision in time."""
 
 
+class FoundInCheck(AuburnhollowError):
+    """The check of a configuration has findings, which are printed already."""
+
+
 class UnknownRequest(AuburnhollowError):
     """The log files have no line of a request."""
 
@@ -196,6 +202,33 @@
         explanation = asyncio.run(ask())
         self._print(explanation, relay_formatting.format_route(explanation))
 
+    def relay_check(self, file, adapter=DEFAULT_ADAPTER, live=None, against=None, regions=None):
+        """Check a configuration of the relay nodes before it is sent.
+
+        Prints errors, entries that can never match, limits that contradict each other, and what
+        differs from the version in force. Ends with code 2 if there are findings. Keys of
+        client accounts are never printed.
+
+        :param file: path of the configuration file.
+        :param adapter: package that speaks to the platform.
+        :param live: host:port of the platform's store, to compare with the version in force there,
+            and to find services without servers.
+        :param against: path of another configuration file to compare with instead.
+        :param regions: JSON object of data centres to regions, as in a node's settings.
+        """
+        platform = importlib.import_module(f"{adapter}.configuration")
+        table = platform.parse_table(_read(file))
+        before, servers = None, None
+        if live is not None:
+            before, servers = asyncio.run(platform.read_in_force(str(live)))
+        if against is not None:
+            before = platform.parse_table(_read(against))
+        regions = None if regions is None else _selector(regions)
+        report = table_check.report(table, before, servers, regions)
+        self._print(report.to_map(), table_check.format_report(report))
+        if report.findings:
+            raise FoundInCheck(f"{len(report.findings)} findings")
+
     def timeline(self, minutes=DEFAULT_TIMELINE_MINUTES, html=None, follow_request=None):
         """Merge the events of the given nodes into one timeline.
 
@@ -352,6 +385,14 @@
         print(orjson.dumps(value).decode() if self._json else text)
 
 
+def _read(path):
+    try:
+        with open(path, "rb") as file:
+            return file.read()
+    except OSError as error:
+        raise ConfigurationError([Finding(str(path), error.strerror)]) from error
+
+
 def _selector(value):
     if value is None:
         return {}
--- a/packages/auburnhollow-operator/src/auburnhollow_operator/main.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/main.py
@@ -16,7 +16,7 @@
 )
 
 from . import formatting
-from .commands import Commands, NotInForce
+from .commands import Commands, FoundInCheck, NotInForce
 
 EXIT_UNREACHABLE = 1
 EXIT_FINDINGS = 2
@@ -30,6 +30,9 @@
         for finding in error.findings:
             print(finding, file=sys.stderr)
         return EXIT_FINDINGS
+    if isinstance(error, FoundInCheck):
+        print(error, file=sys.stderr)
+        return EXIT_FINDINGS
     if isinstance(error, ConflictError):
         print(f"another change came first: {error}", file=sys.stderr)
         if error.current is not None:
