--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -3,7 +3,6 @@
 import asyncio
 import copy
 import getpass
-import importlib
 import sys
 from contextlib import asynccontextmanager
 
@@ -31,7 +30,7 @@
 )
 from auburnhollow_node.relay.settings import check_settings
 
-from . import formatting, html_timeline, relay_formatting, request_trace, table_check
+from . import formatting, html_timeline, relay_formatting, request_trace, table_check, table_reading
 from .fleet import FleetClient
 
 MAX_WRITE_ATTEMPTS = 20
@@ -39,7 +38,6 @@
 CONFIRMATION_POLL_INTERVAL_MS = 200
 DEFAULT_WAIT_S = 30
 DEFAULT_TIMELINE_MINUTES = 15
-DEFAULT_ADAPTER = "auburnhollow_platform"
 EMPTY_DOCUMENT = {"data_centres": [], "services": [], "servers": [], "draining": []}
 
 
@@ -202,7 +200,9 @@
         explanation = asyncio.run(ask())
         self._print(explanation, relay_formatting.format_route(explanation))
 
-    def relay_check(self, file, adapter=DEFAULT_ADAPTER, live=None, against=None, regions=None):
+    def relay_check(
+        self, file, adapter=table_reading.DEFAULT_ADAPTER, live=None, against=None, regions=None
+    ):
         """Check a configuration of the relay nodes before it is sent.
 
         Prints errors, entries that can never match, limits that contradict each other, and what
@@ -216,15 +216,7 @@
         :param against: path of another configuration file to compare with instead.
         :param regions: JSON object of data centres to regions, as in a node's settings.
         """
-        platform = importlib.import_module(f"{adapter}.configuration")
-        table = platform.parse_table(_read(file))
-        before, servers = None, None
-        if live is not None:
-            before, servers = asyncio.run(platform.read_in_force(str(live)))
-        if against is not None:
-            before = platform.parse_table(_read(against))
-        regions = None if regions is None else _selector(regions)
-        report = table_check.report(table, before, servers, regions)
+        report = table_reading.read_report(file, adapter, live, against, regions)
         self._print(report.to_map(), table_check.format_report(report))
         if report.findings:
             raise FoundInCheck(f"{len(report.findings)} findings")
@@ -385,14 +377,6 @@
         print(orjson.dumps(value).decode() if self._json else text)
 
 
-def _read(path):
-    try:
-        with open(path, "rb") as file:
-            return file.read()
-    except OSError as error:
-        raise ConfigurationError([Finding(str(path), error.strerror)]) from error
-
-
 def _selector(value):
     if value is None:
         return {}
--- a/packages/auburnhollow-operator/src/auburnhollow_operator/table_check.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/table_check.py
@@ -1,6 +1,7 @@
 """The report of a check of the relay nodes' configuration."""
 
 from auburnhollow.records import Record
+from auburnhollow.servers import ServerState
 
 from .table_differences import table_differences
 from .table_findings import check_table
@@ -24,7 +25,7 @@
     :param regions: dictionary of data centres to regions, or ``None``.
     """
     names = None if regions is None else set(regions.values())
-    places = None if servers is None else _places(servers, regions)
+    places = None if servers is None else _places(servers, regions or {})
     findings = [finding.to_map() for finding in check_table(table, names, places)]
     differences = None
     if before is not None:
@@ -46,6 +47,7 @@
     for finding in report.findings:
         lines.append(f"  {finding['kind']}: {finding['place']}: {finding['text']}")
     if report.differences is None:
+        lines.append("no other version to compare with")
         return "\n".join(lines)
     lines.append(f"differences from version {report.version_before}:")
     if not report.differences:
@@ -56,9 +58,10 @@
 
 
 def _places(servers, regions):
-    """Return the regions of each service's servers; data centres where regions are unknown."""
+    """Return the regions of each service's servers that get requests, ``None`` if unknown."""
     places = {}
     for server in servers:
-        region = server.data_centre if regions is None else regions.get(server.data_centre)
-        places.setdefault(server.service, set()).add(region)
+        if server.state is not ServerState.READY:
+            continue
+        places.setdefault(server.service, set()).add(regions.get(server.data_centre))
     return places
--- a/packages/auburnhollow-operator/src/auburnhollow_operator/table_findings.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/table_findings.py
@@ -111,9 +111,6 @@
         _add(found, Kind.ERROR, place, "objective and time limit must be more than 0 ms")
     if route.attempts < 1:
         _add(found, Kind.ERROR, place, "no attempt is allowed")
-    if not route.repeatable and route.attempts > 1:
-        text = f"{route.attempts} attempts are allowed, but its requests run once at most"
-        _add(found, Kind.CONTRADICTION, place, text)
     if not route.shards:
         return
     if route.least_share > MAX_SHARE:
@@ -130,7 +127,9 @@
     if not route.homes or servers is None:
         return
     for name in route.shards or tuple(branch.service for branch in route.branches):
-        if servers.get(name) and not servers[name].intersection(route.homes):
+        places = servers.get(name)
+        # A server in a data centre whose region is not known may be at home.
+        if places and None not in places and not places.intersection(route.homes):
             text = f"service {name} has no servers in {', '.join(route.homes)}"
             _add(found, Kind.NEVER_MATCHES, f"{place}.homes", text)
 
