Try a request on one server before its quarantine is lifted

Cause: in trial nodes lifted the sentence of the crashing search since ends reported under other searches alone counted as another cause; it then ended nine more servers, one a shard. Change: a lift cuts the sentence short for a trial on one server, on any node; an answer clears the request everywhere, the end of that server convicts whatever ended beside the first ones. Ruled out: waiting longer before a lift, which refuses innocent requests for as long. Tests: both new ones failed before; quarantine, relay and platform tests of crashing requests pass.

--- a/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/quarantine.py
@@ -50,13 +50,14 @@
 
     ``canary`` is the lock held by the one call of the request that may run, ``is_in_trial`` whether
     the request is on trial. ``is_undecided`` is set while endings may turn out to have another
-    cause, ``is_explained`` once another request in quarantine has turned out to explain all of
-    them, ``is_witnessed`` if one of them was detected by this node.
+    cause, ``is_explained`` once another cause has turned out to be likely, ``has_failed_trial`` if
+    a server ended in a trial here, ``is_witnessed`` if one of them was detected by this node.
     """
 
     __slots__ = (
         "canary",
         "evidence",
+        "has_failed_trial",
         "is_explained",
         "is_in_trial",
         "is_undecided",
@@ -68,6 +69,7 @@
     def __init__(self, ended):
         self.canary = asyncio.Lock()
         self.evidence = Evidence(ended)
+        self.has_failed_trial = False
         self.is_explained = False
         self.is_in_trial = False
         self.is_undecided = False
@@ -207,6 +209,7 @@
         """
         suspect = self._suspects[fingerprint]
         suspect.is_in_trial = True
+        known = len(suspect.evidence)
         log_decision(
             log, "trial after a quarantine", fingerprint=fingerprint, endings=len(suspect.evidence)
         )
@@ -214,6 +217,10 @@
             yield suspect.evidence.shards
         finally:
             suspect.is_in_trial = False
+            if not self._is_refused(suspect) and len(suspect.evidence) > known:
+                # Whatever ended beside the first ones, this one was the request's own.
+                suspect.has_failed_trial = True
+                self._start_quarantine(fingerprint, suspect)
             if not self._is_refused(suspect):
                 # Neither an answer nor an ending: the next trial is due later.
                 pause_ms = PROBE_RETRY_MS if suspect.is_explained else DOUBTFUL_QUARANTINE_MS
@@ -483,13 +490,18 @@
             self._start_quarantine(fingerprint, suspect)
 
     def _lift_if_doubtful(self, fingerprint, suspect):
-        """Lift a quarantine if later answers or endings have made the evidence unconvincing."""
-        if not self._is_refused(suspect) or suspect.evidence.is_convincing():
+        """Lift a quarantine if later answers or endings have made the evidence unconvincing.
+
+        One server has to show it first, in a trial on any node: the reports that made it so may be
+        incomplete, and all shards would lose one more server.
+        """
+        if suspect.is_explained or suspect.has_failed_trial or not self._is_refused(suspect):
+            return
+        if suspect.evidence.is_convincing():
             return
         if not suspect.evidence.is_settled(self._clock.now_ms()):
             return
-        suspect.quarantined_until_ms = None
-        suspect.quarantine_count = max(0, suspect.quarantine_count - 1)
+        self._make_trial_due(suspect)
         log.info("quarantine: request %s lifted, the deaths have another cause", fingerprint)
         self._events.record("quarantine-lifted", fingerprint=fingerprint)
         self._report_evidence(fingerprint, suspect)
@@ -505,14 +517,18 @@
         explaining = self._explaining(fingerprint, suspect)
         if explaining is None:
             return
-        suspect.is_explained = True
-        suspect.quarantined_until_ms = self._clock.now_ms()
-        suspect.quarantine_count = max(0, suspect.quarantine_count - 1)
+        self._make_trial_due(suspect)
         log_decision(
             log, "trial due, another request explains it", fingerprint=fingerprint, cause=explaining
         )
         self._events.record("quarantine-shortened", fingerprint=fingerprint, cause=explaining)
 
+    def _make_trial_due(self, suspect):
+        """Cut a sentence short: its trial is due now, on any node."""
+        suspect.is_explained = True
+        suspect.quarantined_until_ms = self._clock.now_ms()
+        suspect.quarantine_count = max(0, suspect.quarantine_count - 1)
+
     def _explaining(self, fingerprint, suspect):
         """Return a request in quarantine under which all these servers ended too, or ``None``."""
         for other, cause in self._suspects.items():
--- a/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
+++ b/packages/auburnhollow/src/auburnhollow/quarantine/tests/test_evidence.py
@@ -267,3 +267,27 @@
         clock.advance(INTERVAL_MS)
     refused = [each for each in ("bad", "ordinary") if is_refused(quarantine, each)]
     assert len(refused) == 1
+
+
+def node_whose_quarantine_has_another_cause():
+    """Return a clock and a quarantine of "bad", beside whose ends another request had one."""
+    clock, quarantine = node_that_has_heard_of_a_search_that_ended(7)
+    assert is_refused(quarantine, "bad")
+    clock.advance(SETTLE_MS)
+    return clock, quarantine
+
+
+def test_a_request_with_another_likely_cause_is_tried_on_one_server_first():
+    _clock, quarantine = node_whose_quarantine_has_another_cause()
+    assert not is_refused(quarantine, "bad")
+    assert quarantine.needs_trial("bad")
+
+
+def test_a_server_that_ends_in_the_trial_convicts_whatever_ended_beside_the_first_ones():
+    clock, quarantine = node_whose_quarantine_has_another_cause()
+    assert not is_refused(quarantine, "bad")
+    with quarantine.trial("bad"):
+        crash(quarantine, "last", "shard of last", "bad")
+    for _ in range(10):
+        assert is_refused(quarantine, "bad")
+        clock.advance(MAX_INNOCENT_MS)
