Find the pace of servers that start or recover from how they answer

Cause: a server that has just started looks idle to every node at once and is flooded; one that has recovered is left idle while nodes remember its failures. Change: package pace: a share of the usual requests per incarnation, doubled by good answers and by a second without a sign, halved by slow ones, refusals and failures; gossiped; switched on by a service's warm-up time or the setting pace. Trouble from before a recovery is forgotten there. Tests of pace, relay, servers and the node pass.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -19,6 +19,7 @@
 from auburnhollow.limits.rate_gossip import RateGossip
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
+from auburnhollow.pace import Pace, PaceGossip
 from auburnhollow.peers import PeerClient, PeerServer
 from auburnhollow.quarantine import EvidenceSaver, Quarantine
 from auburnhollow.quarantine.gossip import QuarantineGossip
@@ -39,6 +40,7 @@
 
 from ..fleet import Fleet
 from .lag import LoopLag
+from .settings import PACE_ALWAYS, PACE_CONFIGURED
 
 log = logging.getLogger("node")
 
@@ -132,6 +134,7 @@
             aggregators,
         )
         self._wire_reach()
+        self._wire_pace()
         self._subqueries = SubqueryServer(self.dispatcher, self._is_open)
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
         self.peer_server.on(SubqueryRepeats, self._subqueries.allow_repeats)
@@ -270,6 +273,7 @@
             "node.cut_off": int(self.dispatcher.reach.is_cut_off),
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
             "relay.servers_limited": len(self.rates),
+            "pace.servers": len(self.dispatcher.choice.pace),
             "relay.repeats_left": self.dispatcher.least_budget_left(),
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         }
@@ -338,6 +342,30 @@
         )
         self.peer_server.on_stream(DelegatedRequest, self._delegation_server.answer)
 
+    def _wire_pace(self):
+        choice = self.dispatcher.choice
+        choice.pace = Pace(
+            self.clock,
+            self._random,
+            self.metrics,
+            lambda server: choice.pressure(server, self.registry.usable(server.service)),
+            self._is_paced,
+        )
+        PaceGossip(choice.pace, self.fleet.gossiper, self.fleet.table, self.clock)
+        self.registry.on_start = self._on_server_start
+
+    def _is_paced(self, service):
+        """Return whether settings or configuration ask for the pace of a service's servers."""
+        if self.settings.pace != PACE_CONFIGURED:
+            return self.settings.pace == PACE_ALWAYS
+        known = None if self.routes is None else self.routes.services.get(service)
+        return known is not None and known.warm_up_ms > 0
+
+    def _on_server_start(self, server):
+        # To a node that has just started all servers are new.
+        if server.warm_up_ms > 0 or self.follower.first_read_done.is_set():
+            self.dispatcher.choice.pace.begin(server, "started")
+
     def _is_open(self):
         """Return whether this node calls servers for other nodes."""
         return self.is_ready and not self.dispatcher.reach.is_cut_off
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/settings.py
@@ -18,6 +18,13 @@
     return Setting(value_type=str, default=default, minimum=None, maximum=None)
 
 
+# Which servers' pace is found: of services with a configured warm-up, of all, of none.
+PACE_CONFIGURED = "configured"
+PACE_ALWAYS = "always"
+PACE_NEVER = "never"
+CHOICES = {"pace": (PACE_CONFIGURED, PACE_ALWAYS, PACE_NEVER)}
+
+
 def _number(default, minimum, maximum):
     return Setting(value_type=float, default=default, minimum=minimum, maximum=maximum)
 
@@ -40,6 +47,7 @@
     "retry_ratio": _number(0.1, 0.0, 1.0),
     "retry_window_ms": _number(10_000.0, 1_000.0, 600_000.0),
     "retry_slack": _number(0.0, 0.0, 1_000_000.0),
+    "pace": _string(PACE_CONFIGURED),
     "linger_ms": _number(2_600.0, 0.0, 60_000.0),
     "shutdown_ms": _number(5_600.0, 0.0, 600_000.0),
     "log_level": _string("info"),
@@ -55,6 +63,7 @@
     "retry_ratio",
     "retry_window_ms",
     "retry_slack",
+    "pace",
     "linger_ms",
     "shutdown_ms",
     "log_level",
@@ -92,6 +101,8 @@
         return Finding(name, f"{value!r} is not of type {setting.value_type.__name__}")
     if setting.minimum is not None and not setting.minimum <= value <= setting.maximum:
         return Finding(name, f"{value} is not in {setting.minimum}..{setting.maximum}")
+    if name in CHOICES and value not in CHOICES[name]:
+        return Finding(name, f"{value!r} is not one of {', '.join(CHOICES[name])}")
     if name in ("front", "ready", "store", "peer") and value and ":" not in value:
         return Finding(name, f"{value!r} is not host:port")
     return None
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
@@ -122,6 +122,8 @@
         "named_rate_per_s": node.rates.rate_per_s(server.incarnation),
         "turn_in_ms": round(node.rates.wait_ms(server.incarnation)),
         "passed_over": view.is_ejected(now_ms),
+        "pace": round(node.dispatcher.choice.pace.share(server.incarnation), 3),
+        "pace_reason": node.dispatcher.choice.pace.reason(server.incarnation),
     }
 
 
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/pace/tests/test_pace.py
@@ -0,0 +1,164 @@
+"""Decisions on the pace of one server, and what peers make of each other's findings."""
+
+import random
+
+import pytest
+
+from auburnhollow.clock import ManualClock
+from auburnhollow.gossip import GossipTable
+from auburnhollow.metrics import Metrics
+from auburnhollow.pace import Finding, Pace, PaceGossip
+from auburnhollow.pace.finding import (
+    ANSWERS_TO_GROW,
+    FULL_SHARE,
+    MIN_SHARE,
+    QUIET_MS,
+    UNKNOWN_START_SHARE,
+    start_share,
+)
+from auburnhollow_standins.fake_servers import make_server
+
+FULL_PRESSURE = 1.0
+
+
+class FakeGossiper:
+    """Hands each published entry to other nodes' tables at once."""
+
+    def __init__(self):
+        self.tables = []
+
+    def publish(self, entry):
+        for table in self.tables:
+            table.put(entry)
+
+
+def make_pace(clock, pressure=FULL_PRESSURE, is_wanted=True):
+    return Pace(
+        clock, random.Random(5), Metrics(), lambda _server: pressure, lambda _service: is_wanted
+    )
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def test_a_service_with_room_needs_no_pace():
+    assert start_share(0.05) == FULL_SHARE
+    assert start_share(None) == UNKNOWN_START_SHARE
+    assert start_share(0.5) == 0.25
+    assert start_share(100.0) == MIN_SHARE
+
+
+def test_good_answers_double_the_share_until_it_is_full(clock):
+    finding = Finding("started", 0.25, clock.now_ms())
+    changes = []
+    while not finding.is_over(clock.now_ms()):
+        began_ms = clock.now_ms()
+        clock.advance(30.0)
+        if finding.observe(began_ms, 1.2, 0.5, clock.now_ms()):
+            changes.append(finding.share(clock.now_ms()))
+    assert changes == [0.5, 1.0]
+    assert clock.now_ms() == 2 * ANSWERS_TO_GROW * 30.0
+
+
+@pytest.mark.parametrize(("ratio", "load"), [(4.0, 0.5), (1.0, 2.0)])
+def test_a_slow_answer_or_a_long_queue_halves_the_share(clock, ratio, load):
+    finding = Finding("started", 0.5, clock.now_ms())
+    assert finding.observe(clock.now_ms(), ratio, load, clock.now_ms())
+    assert finding.share(clock.now_ms()) == 0.25
+
+
+def test_calls_from_before_a_change_do_not_count(clock):
+    finding = Finding("started", 0.5, clock.now_ms())
+    clock.advance(10.0)
+    assert finding.stumble(clock.now_ms(), clock.now_ms())
+    for _ in range(5):
+        assert not finding.stumble(5.0, clock.now_ms())
+        assert not finding.observe(5.0, 1.0, 0.0, clock.now_ms())
+    assert finding.share(clock.now_ms()) == 0.25
+
+
+def test_a_stumbling_server_keeps_a_least_share(clock):
+    finding = Finding("started", 0.5, clock.now_ms())
+    for _ in range(20):
+        clock.advance(10.0)
+        finding.stumble(clock.now_ms(), clock.now_ms())
+    assert finding.share(clock.now_ms()) == MIN_SHARE
+
+
+def test_a_server_that_nobody_asks_is_at_its_full_share_after_some_seconds(clock):
+    finding = Finding("started", 0.25, clock.now_ms())
+    clock.advance(2 * QUIET_MS)
+    assert finding.is_over(clock.now_ms())
+
+
+def test_requests_are_thinned_out_by_the_share(clock):
+    pace = make_pace(clock)
+    fresh, settled = make_server("new"), make_server("old")
+    pace.begin(fresh, "started")
+    kept = sum(fresh in pace.thin([fresh, settled]) for _ in range(4_000))
+    assert pace.share(fresh.incarnation) == 0.125
+    assert 0.10 < kept / 4_000 < 0.15
+
+
+def test_servers_that_are_all_new_are_used_as_usual(clock):
+    pace = make_pace(clock)
+    servers = [make_server(name) for name in ("a", "b", "c")]
+    for server in servers:
+        pace.begin(server, "started")
+    assert all(pace.thin(servers) == servers for _ in range(50))
+
+
+def test_of_new_servers_the_one_that_has_answered_gets_more(clock):
+    pace = make_pace(clock)
+    quick, slow = make_server("a"), make_server("b")
+    for server in (quick, slow):
+        pace.begin(server, "started")
+    for _ in range(ANSWERS_TO_GROW):
+        pace.answered(quick, clock.now_ms(), 1.0, 0)
+    kept = sum(slow in pace.thin([quick, slow]) for _ in range(2_000))
+    assert 0.45 < kept / 2_000 < 0.55
+
+
+def test_nothing_is_paced_that_nobody_asked_for(clock):
+    pace = make_pace(clock, is_wanted=False)
+    server = make_server("a")
+    pace.begin(server, "started")
+    assert len(pace) == 0
+
+
+def test_peers_take_over_the_newest_share_whatever_its_way(clock):
+    gossiper = FakeGossiper()
+    paces = []
+    server = make_server("a")
+    for _ in range(3):
+        pace = make_pace(clock)
+        table = GossipTable(clock)
+        gossiper.tables.append(table)
+        PaceGossip(pace, gossiper, table, clock)
+        pace.begin(server, "started")
+        paces.append(pace)
+    for _ in range(ANSWERS_TO_GROW):
+        paces[0].answered(server, clock.now_ms(), 1.0, 0)
+    assert [pace.share(server.incarnation) for pace in paces] == [0.25] * 3
+    paces[1].hear_from_peer(server.incarnation, FULL_SHARE, version=0)
+    paces[2].stumbled(server, clock.now_ms())
+    assert [pace.share(server.incarnation) for pace in paces] == [0.125] * 3
+
+
+def test_a_share_of_a_server_that_troubles_only_peers_is_not_taken_over(clock):
+    pace = make_pace(clock)
+    server = make_server("a")
+    pace.hear_from_peer(server.incarnation, MIN_SHARE, version=9)
+    assert pace.share(server.incarnation) == FULL_SHARE
+    pace.begin(server, "unreachable")
+    pace.hear_from_peer(server.incarnation, FULL_SHARE, version=8)
+    assert pace.share(server.incarnation) == 0.125
+
+
+def test_servers_that_are_gone_are_forgotten(clock):
+    pace = make_pace(clock)
+    pace.begin(make_server("a"), "started")
+    pace.forget(set())
+    assert len(pace) == 0
--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -19,6 +19,8 @@
 # A node that has just started may not know all other nodes yet.
 MIN_NODES = 8
 MIN_CALLS = 2
+# A service's load changes over seconds.
+PRESSURE_AGE_MS = 3_000.0
 # Random variation, so that nodes with the same measurements do not all choose the same server.
 JITTER = 0.1
 
@@ -38,6 +40,9 @@
     :param random: a :class:`random.Random`.
     :param count_nodes: function that returns the known number of nodes that call servers.
     :param rates: :class:`~auburnhollow.limits.ServerRates`, or ``None`` if servers name none.
+
+    ``pace`` is the :class:`~auburnhollow.pace.Pace` of servers that have started or recovered, or
+    ``None``.
     """
 
     __slots__ = (
@@ -50,6 +55,7 @@
         "_regions",
         "_round_trips_ms",
         "_views",
+        "pace",
     )
 
     def __init__(self, data_centre, regions, clock, random, count_nodes=lambda: 1, rates=None):
@@ -62,6 +68,7 @@
         self._connection_limits = {}
         self._round_trips_ms = {}
         self._views = {}
+        self.pace = None
 
     def choose(self, servers, work_ms, tried=(), until_ms=math.inf):
         """Return the server with the lowest cost, or ``None`` if there is none to choose.
@@ -75,6 +82,8 @@
         is_limited = self.is_limited
         best = None
         best_ms = 0.0
+        if self.pace is not None and len(self.pace) > 0:
+            servers = self.pace.thin([server for server in servers if server.id not in tried])
         for server in servers:
             if server.id in tried:
                 continue
@@ -112,6 +121,31 @@
         if self._rates is not None and notice is not None:
             self._rates.hear(server.incarnation, notice, asked_ms)
 
+    def recovered(self, server, reason):
+        """Forget the trouble of a server that has recovered, and find its pace anew.
+
+        :param reason: what it has recovered from, for the log.
+        """
+        if self.pace is None or not self.pace.is_wanted(server.service):
+            return
+        self.view(server).forget_trouble(self._clock.now_ms())
+        self.pace.begin(server, reason)
+
+    def pressure(self, server, others):
+        """Return the mean load of ``others`` in parts of their slots, ``None`` if none is known.
+
+        :param server: the server that is left out.
+        """
+        now_ms = self._clock.now_ms()
+        parts = []
+        for other in others:
+            load = None
+            if other.id != server.id:
+                load = self.view(other).reported_load(now_ms, PRESSURE_AGE_MS)
+            if load is not None:
+                parts.append(load / other.slots)
+        return sum(parts) / len(parts) if parts else None
+
     def expected_ms(self, server, work_ms):
         """Return the expected time of a call to the server in milliseconds, without queueing."""
         view = self.view(server)
@@ -165,6 +199,8 @@
         kept = {server.incarnation for server in servers}
         if self._rates is not None:
             self._rates.forget(kept)
+        if self.pace is not None:
+            self.pace.forget(kept)
         for incarnation in [one for one in self._views if one not in kept]:
             if not self._views[incarnation].calls:
                 del self._views[incarnation]
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -72,6 +72,9 @@
         work_ms = now_ms - call.began_ms - self._choice.round_trip_ms(call.server)
         ratio = self._times.observe(work_ms, call.slowdown)
         self.view(call).answered(call, ratio, answer.load, now_ms)
+        pace = self._choice.pace
+        if pace is not None:
+            pace.answered(call.server, call.began_ms, ratio, answer.load)
 
     def failed(self, call, error):
         """Record a :class:`~auburnhollow.exceptions.BackendError`."""
@@ -141,8 +144,14 @@
         self.died(call, is_silent=True)
         self.unreachable(call)
 
+    def stumbled(self, call):
+        """Record that a server whose pace is being found has failed or refused a call."""
+        if self._choice.pace is not None:
+            self._choice.pace.stumbled(call.server, call.began_ms)
+
     def record_failure(self, call, now_ms, eject_at_once=False):
         """Record a failure of the server, which may be ejected for a while."""
+        self.stumbled(call)
         duration_ms = self.view(call).failed(call, now_ms, eject_at_once)
         if duration_ms > 0:
             log_decision(log, "server passed over", server=call.server.id, duration_ms=duration_ms)
@@ -202,5 +211,6 @@
 def _(_error: BackendRefused, call, outcomes, now_ms):
     outcomes.spoke()
     outcomes.view(call).shed(call, call.server.slots, now_ms)
+    outcomes.stumbled(call)
     # The server did not run the request and may have capacity soon, so it may be tried again.
     call.subrequest.tried.remove(call.server.id)
--- a/packages/auburnhollow/src/auburnhollow/relay/readmission.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/readmission.py
@@ -50,5 +50,6 @@
             if await self._client.can_connect(server):
                 view.mark_up()
                 log_decision(log, "server takes connections again", server=server.id)
+                self._choice.recovered(server, "unreachable")
                 return
             delay_ms = min(MAX_PROBE_DELAY_MS, delay_ms * 2)
--- a/packages/auburnhollow/src/auburnhollow/relay/views.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -83,6 +83,19 @@
             return max(self._load, len(self.calls))
         return len(self.calls)
 
+    def reported_load(self, now_ms, max_age_ms):
+        """Return the load that it last reported, ``None`` if that is older than ``max_age_ms``."""
+        return self._load if now_ms - self._load_ms <= max_age_ms else None
+
+    def forget_trouble(self, now_ms):
+        """Forget slowness and failures of before, since the server has recovered."""
+        self._failures = 0
+        self._failing_share = 0.0
+        self._failing_share_ms = now_ms
+        self._slowdown = 1.0
+        self._slowdown_ms = now_ms
+        self._late_since_ms = None
+
     def lateness_ms(self, now_ms):
         """Return the age in milliseconds of the late call in progress, 0 without one.
 
--- a/packages/auburnhollow/src/auburnhollow/servers/registry.py
+++ b/packages/auburnhollow/src/auburnhollow/servers/registry.py
@@ -60,12 +60,23 @@
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
 
+    ``on_start`` is a callback that receives each server that is first seen, or seen with a new
+    start time, and may get requests.
+
     >>> registry.put(server)
     >>> registry.usable("search-3")
     [Server(id='i-1', ...)]
     """
 
-    __slots__ = ("_by_id", "_clock", "_grace_until_ms", "_missing", "_outage", "_usable")
+    __slots__ = (
+        "_by_id",
+        "_clock",
+        "_grace_until_ms",
+        "_missing",
+        "_outage",
+        "_usable",
+        "on_start",
+    )
 
     def __init__(self, clock):
         self._clock = clock
@@ -74,6 +85,7 @@
         self._usable = {}
         self._outage = False
         self._grace_until_ms = None
+        self.on_start = None
 
     def __len__(self):
         return len(self._by_id)
@@ -145,6 +157,9 @@
         self._clear_usable(server.service)
         if known is not None:
             self._clear_usable(known.service)
+        is_start = known is None or known.started_ms != server.started_ms
+        if is_start and server.state is ServerState.READY and self.on_start is not None:
+            self.on_start(server)
 
     def remove(self, server_id):
         """Remove a server whose entry is gone, but not at once if an outage may be the cause."""
