Let paced servers give way only to able ones, and keep findings apart

With the other server down, or its turn too late, a request in eight only went to the paced one, the others to the dead one or to none. A fall after quiet growth was neither told nor logged. What peers found of a server before ended the finding of its next recovery, and versions kept for ever silenced nodes that had restarted. After a failed first read, or when a lapsed entry came back, old servers counted as new. Findings of servers that nobody asks stayed until the next configuration, and each choice paid for them.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -362,9 +362,8 @@
         return known is not None and known.warm_up_ms > 0
 
     def _on_server_start(self, server):
-        # To a node that has just started all servers are new.
-        if server.warm_up_ms > 0 or self.follower.first_read_done.is_set():
-            self.dispatcher.choice.pace.begin(server, "started")
+        is_first_read = not self.follower.first_read_done.is_set()
+        self.dispatcher.choice.pace.seen(server, is_first_read)
 
     def _is_open(self):
         """Return whether this node calls servers for other nodes."""
--- a/packages/auburnhollow/src/auburnhollow/pace/finding.py
+++ b/packages/auburnhollow/src/auburnhollow/pace/finding.py
@@ -42,7 +42,8 @@
 class Finding:
     """The search for the pace of one incarnation of a server.
 
-    ``reason`` says why it began. ``version`` counts the changes, of all nodes together.
+    ``reason`` says why it began, ``began_ms`` when. ``version`` counts the changes, of all nodes
+    together.
 
     :param share: the share of its usual requests that it gets at first, 0 to 1.
     :param now_ms: when that holds from, in milliseconds.
@@ -52,10 +53,11 @@
     False
     """
 
-    __slots__ = ("_answers", "_changed_ms", "_share", "reason", "version")
+    __slots__ = ("_answers", "_changed_ms", "_share", "began_ms", "reason", "version")
 
     def __init__(self, reason, share, now_ms, version=0):
         self.reason = reason
+        self.began_ms = now_ms
         self.version = version
         self._share = share
         self._changed_ms = now_ms
@@ -107,8 +109,9 @@
         self._set(share, now_ms)
 
     def _fall(self, now_ms):
-        share = max(MIN_SHARE, self.share(now_ms) / GROWTH)
-        if share == self._share:
+        before = self.share(now_ms)
+        share = max(MIN_SHARE, before / GROWTH)
+        if share == before:
             # The time without a good sign begins anew.
             self._changed_ms = now_ms
             return False
--- a/packages/auburnhollow/src/auburnhollow/pace/gossip.py
+++ b/packages/auburnhollow/src/auburnhollow/pace/gossip.py
@@ -1,10 +1,9 @@
 """Gossip of the shares that nodes have found for servers."""
 
 from ..gossip import GossipEntry
+from .pace import RETENTION_MS
 
 KIND = "pace"
-# Longer than a server's pace takes to be found.
-RETENTION_MS = 60_000
 
 
 class PaceGossip:
@@ -42,4 +41,6 @@
 
     def _on_entry(self, entry):
         server, started, share = entry.value
-        self._pace.hear_from_peer((server, started), float(share), entry.version)
+        found_ms = entry.expires_ms - RETENTION_MS
+        age_ms = max(0.0, self._clock.wall_ms() - found_ms)
+        self._pace.hear_from_peer((server, started), float(share), entry.version, age_ms)
--- a/packages/auburnhollow/src/auburnhollow/pace/pace.py
+++ b/packages/auburnhollow/src/auburnhollow/pace/pace.py
@@ -3,10 +3,16 @@
 import logging
 
 from ..decisions import log_decision
-from .finding import FULL_SHARE, Finding, start_share
+from .finding import FULL_SHARE, QUIET_MS, Finding, start_share
 
 log = logging.getLogger("pace")
 
+# Longer than a server's pace takes to be found. Versions of before are forgotten, since nodes that
+# have restarted begin at 0 again.
+RETENTION_MS = 60_000
+# A server that has run for longer is not new, whenever this node first hears of it.
+NEW_MS = 60_000
+
 
 class Pace:
     """The servers whose pace is being found, and which of them may get the next request.
@@ -33,6 +39,7 @@
         "_findings",
         "_is_wanted",
         "_metrics",
+        "_next_sweep_ms",
         "_pressure",
         "_random",
         "_versions",
@@ -47,6 +54,7 @@
         self._is_wanted = is_wanted
         self._findings = {}
         self._versions = {}
+        self._next_sweep_ms = 0.0
         self.on_change = None
 
     def __len__(self):
@@ -66,6 +74,14 @@
         """Return whether the servers of a service are paced."""
         return self._is_wanted(service)
 
+    def seen(self, server, is_first_read):
+        """Begin to find the pace of a server that this node hears of for the first time, if new.
+
+        :param is_first_read: whether this node has just started: to it all servers are new.
+        """
+        if server.warm_up_ms > 0 or not (is_first_read or self._is_old(server)):
+            self.begin(server, "started")
+
     def begin(self, server, reason, delay_ms=0.0):
         """Begin to find the pace of a server.
 
@@ -79,7 +95,7 @@
         if share >= FULL_SHARE:
             return
         incarnation = server.incarnation
-        version = self._versions.get(incarnation, 0)
+        version = self._version(incarnation)
         began_ms = self._clock.now_ms() + delay_ms
         self._findings[incarnation] = Finding(reason, share, began_ms, version)
         self._metrics.incr("pace.begun")
@@ -97,6 +113,7 @@
 
         A server is kept as often as its share is of the greatest share among them.
         """
+        self._sweep()
         if not self._findings:
             return servers
         shares = [self._current_share(server) for server in servers]
@@ -137,18 +154,25 @@
         if finding.stumble(began_ms, now_ms):
             self._changed(server.incarnation, finding, before)
 
-    def hear_from_peer(self, incarnation, share, version):
+    def hear_from_peer(self, incarnation, share, version, age_ms=0.0):
         """Apply the share that a peer has found; older ones are ignored.
 
-        A node that finds nothing wrong with the server itself only remembers the version.
+        A node that finds nothing wrong with the server itself only remembers the version, as does
+        one whose finding began later than the peer found the share.
+
+        :param age_ms: how long ago the peer found it.
         """
-        if version <= self._versions.get(incarnation, 0):
+        if version <= self._version(incarnation):
             return
-        self._versions[incarnation] = version
+        self._remember(incarnation, version)
         finding = self._findings.get(incarnation)
         if finding is None:
             return
-        finding.apply(share, version, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        if now_ms - age_ms < finding.began_ms:
+            finding.version = version
+            return
+        finding.apply(share, version, now_ms)
         self._end_if_over(incarnation, finding)
 
     def forget(self, known):
@@ -157,9 +181,28 @@
         :param known: set of the incarnations that are known.
         """
         self._findings = {each: found for each, found in self._findings.items() if each in known}
-        self._versions = {
-            each: version for each, version in self._versions.items() if each in known
-        }
+        self._versions = {each: kept for each, kept in self._versions.items() if each in known}
+
+    def _is_old(self, server):
+        # Entries may name no start time.
+        return 0 < server.started_ms < self._clock.wall_ms() - NEW_MS
+
+    def _sweep(self):
+        """End the findings of servers that nobody asks, such as those that are gone."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_sweep_ms:
+            return
+        self._next_sweep_ms = now_ms + QUIET_MS
+        for incarnation, finding in list(self._findings.items()):
+            self._end_if_over(incarnation, finding)
+        self._versions = {each: kept for each, kept in self._versions.items() if now_ms < kept[1]}
+
+    def _version(self, incarnation):
+        version, until_ms = self._versions.get(incarnation, (0, 0.0))
+        return version if self._clock.now_ms() < until_ms else 0
+
+    def _remember(self, incarnation, version):
+        self._versions[incarnation] = (version, self._clock.now_ms() + RETENTION_MS)
 
     def _current_share(self, server):
         finding = self._findings.get(server.incarnation)
@@ -170,7 +213,7 @@
 
     def _changed(self, incarnation, finding, before):
         finding.version += 1
-        self._versions[incarnation] = finding.version
+        self._remember(incarnation, finding.version)
         share = finding.share(self._clock.now_ms())
         self._metrics.incr("pace.grew" if share > before else "pace.fell")
         log_decision(
--- a/packages/auburnhollow/src/auburnhollow/pace/tests/test_pace.py
+++ b/packages/auburnhollow/src/auburnhollow/pace/tests/test_pace.py
@@ -16,6 +16,7 @@
     UNKNOWN_START_SHARE,
     start_share,
 )
+from auburnhollow.pace.pace import RETENTION_MS
 from auburnhollow_standins.fake_servers import make_server
 
 FULL_PRESSURE = 1.0
@@ -162,3 +163,90 @@
     pace.begin(make_server("a"), "started")
     pace.forget(set())
     assert len(pace) == 0
+
+
+def connect(clock, gossiper, pace):
+    table = GossipTable(clock)
+    gossiper.tables.append(table)
+    PaceGossip(pace, gossiper, table, clock)
+    return table
+
+
+def test_peers_hear_of_a_fall_after_quiet_growth(clock):
+    gossiper = FakeGossiper()
+    server = make_server("a")
+    paces = [make_pace(clock) for _ in range(2)]
+    for pace in paces:
+        connect(clock, gossiper, pace)
+        pace.begin(server, "started")
+    clock.advance(QUIET_MS)
+    assert [pace.share(server.incarnation) for pace in paces] == [0.25] * 2
+    paces[0].stumbled(server, clock.now_ms())
+    assert [pace.share(server.incarnation) for pace in paces] == [0.125] * 2
+
+
+def test_what_peers_found_before_a_recovery_says_nothing_of_it(clock):
+    """As after a restart of the node: the entry comes with the table, after the finding began."""
+    gossiper = FakeGossiper()
+    server = make_server("a")
+    peer, restarted = make_pace(clock), make_pace(clock)
+    known = connect(clock, gossiper, peer)
+    peer.begin(server, "started")
+    while len(peer):
+        peer.answered(server, clock.now_ms(), 1.0, 0)
+        clock.advance(10.0)
+    clock.advance(20_000.0)
+    restarted.begin(server, "unreachable")
+    table = connect(clock, gossiper, restarted)
+    clock.advance(50.0)
+    for entry in known.of_kind("pace"):
+        assert table.put(entry)
+    assert restarted.share(server.incarnation) == 0.125
+    restarted.stumbled(server, clock.now_ms())
+    assert known.of_kind("pace")[0].value[2] == MIN_SHARE
+
+
+def test_versions_of_long_ago_do_not_silence_a_node_that_has_restarted(clock):
+    server = make_server("a")
+    pace = make_pace(clock)
+    pace.hear_from_peer(server.incarnation, FULL_SHARE, version=9)
+    clock.advance(RETENTION_MS + 1.0)
+    pace.begin(server, "unreachable")
+    pace.hear_from_peer(server.incarnation, MIN_SHARE, version=1)
+    assert pace.share(server.incarnation) == MIN_SHARE
+
+
+@pytest.mark.parametrize(
+    ("is_first_read", "age_ms", "warm_up_ms", "is_paced"),
+    [
+        (False, 1_000.0, 0, True),
+        (True, 1_000.0, 0, False),
+        (True, 1_000.0, 500, True),
+        (False, 600_000.0, 0, False),
+    ],
+)
+def test_only_servers_that_are_new_themselves_begin(
+    clock, is_first_read, age_ms, warm_up_ms, is_paced
+):
+    """An old one comes back with its entry, or after a node's first read has failed."""
+    clock.advance(1_000_000.0)
+    pace = make_pace(clock)
+    started_ms = int(clock.wall_ms() - age_ms)
+    pace.seen(make_server("a", started_ms=started_ms, warm_up_ms=warm_up_ms), is_first_read)
+    assert (len(pace) == 1) == is_paced
+
+
+def test_a_server_without_a_start_time_counts_as_new(clock):
+    clock.advance(1_000_000.0)
+    pace = make_pace(clock)
+    pace.seen(make_server("a", started_ms=0), is_first_read=False)
+    assert len(pace) == 1
+
+
+def test_a_server_that_nobody_asks_leaves_nothing_behind(clock):
+    pace = make_pace(clock)
+    server = make_server("a")
+    pace.begin(server, "started")
+    clock.advance(10 * QUIET_MS)
+    pace.thin([make_server("other")])
+    assert len(pace) == 0
--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -83,7 +83,7 @@
         best = None
         best_ms = 0.0
         if self.pace is not None and len(self.pace) > 0:
-            servers = self.pace.thin([server for server in servers if server.id not in tried])
+            servers = self._thin(servers, work_ms, tried, until_ms)
         for server in servers:
             if server.id in tried:
                 continue
@@ -96,6 +96,22 @@
                 best_ms = cost_ms
         return best
 
+    def _thin(self, servers, work_ms, tried, until_ms):
+        """Return the servers without those that are passed over to find their pace.
+
+        They give way only to a server that can take the request.
+        """
+        now_ms = self._clock.now_ms()
+        able = []
+        for server in servers:
+            if server.id in tried or self.view(server).is_ejected(now_ms):
+                continue
+            wait_ms = self.wait_ms(server)
+            if wait_ms > 0 and now_ms + wait_ms + self.expected_ms(server, work_ms) > until_ms:
+                continue
+            able.append(server)
+        return self.pace.thin(able) if able else servers
+
     @property
     def is_limited(self):
         """Whether servers have named rates."""
--- a/packages/auburnhollow/src/auburnhollow/servers/tests/test_registry.py
+++ b/packages/auburnhollow/src/auburnhollow/servers/tests/test_registry.py
@@ -111,3 +111,14 @@
     assert usable(registry) == ["b"]
     registry.misdirected(server)
     assert usable(registry) == ["b"]
+
+
+def test_each_start_of_a_server_is_told_once(registry):
+    started = []
+    registry.on_start = lambda server: started.append(server.incarnation)
+    registry.put(make_server("a", sequence=2))
+    registry.put(make_server("c"))
+    registry.put(make_server("c", sequence=2))
+    registry.put(make_server("a", started_ms=9))
+    registry.put(make_server("d", state=ServerState.DRAINING))
+    assert started == [("c", 1), ("a", 9)]
