Test the load and pressure that pace goes by, and count none before a report

Cause: review by changing the code by hand: four changes passed (slots in the queue and in the pressure, answers neither good nor bad, views that are forgotten). The test of the pressure then showed that a server that had reported nothing counted as idle for the first seconds of the clock. Change: tests; ServerView begins without a reported load. Measured: each of these changes now fails a test; pace tests pass.

--- a/packages/auburnhollow/src/auburnhollow/pace/tests/test_choice.py
+++ b/packages/auburnhollow/src/auburnhollow/pace/tests/test_choice.py
@@ -6,7 +6,7 @@
 from auburnhollow.limits import Notice, ServerRates
 from auburnhollow.metrics import Metrics
 from auburnhollow.pace import Pace
-from auburnhollow.relay.choice import ServerChoice
+from auburnhollow.relay.choice import PRESSURE_AGE_MS, ServerChoice
 from auburnhollow_standins.fake_servers import HOME, make_server
 
 WORK_MS = 20.0
@@ -91,3 +91,25 @@
     view._slowdown_ms = clock.now_ms()
     choice.recovered(server, "unreachable")
     assert view.slowdown(clock.now_ms()) == 8.0
+
+
+def test_pressure_is_the_mean_load_of_the_other_servers_by_their_slots():
+    clock = ManualClock()
+    choice = make_choice(clock)
+    servers = [make_server("a"), make_server("b", slots=8), make_server("c"), make_server("d")]
+    assert choice.pressure(servers[0], servers) is None
+    for server, load in zip(servers, (40, 8, 2), strict=False):
+        choice.view(server)._load = load
+        choice.view(server)._load_ms = clock.now_ms()
+    assert choice.pressure(servers[0], servers) == (8 / 8 + 2 / 4) / 2
+    clock.advance(PRESSURE_AGE_MS + 1.0)
+    assert choice.pressure(servers[0], servers) is None
+
+
+def test_findings_of_servers_that_are_gone_go_with_the_views():
+    choice = make_choice(ManualClock())
+    gone, kept = make_server("gone"), make_server("kept")
+    for server in (gone, kept):
+        choice.pace.begin(server, "started")
+    choice.forget([kept])
+    assert len(choice.pace) == 1 and choice.pace.reason(kept.incarnation) == "started"
--- a/packages/auburnhollow/src/auburnhollow/pace/tests/test_pace.py
+++ b/packages/auburnhollow/src/auburnhollow/pace/tests/test_pace.py
@@ -250,3 +250,19 @@
     clock.advance(10 * QUIET_MS)
     pace.thin([make_server("other")])
     assert len(pace) == 0
+
+
+def test_an_answer_neither_good_nor_bad_changes_nothing(clock):
+    finding = Finding("started", 0.25, clock.now_ms())
+    assert not finding.observe(clock.now_ms(), 2.5, 0.5, clock.now_ms())
+    assert finding.share(clock.now_ms()) == 0.25
+
+
+def test_a_queue_is_long_by_the_slots_of_its_server(clock):
+    pace = make_pace(clock)
+    server = make_server("a", slots=8)
+    pace.begin(server, "started")
+    pace.answered(server, clock.now_ms(), 1.0, 10)
+    assert pace.share(server.incarnation) == 0.25
+    pace.answered(server, clock.now_ms(), 1.0, 13)
+    assert pace.share(server.incarnation) == 0.125
--- a/packages/auburnhollow/src/auburnhollow/relay/views.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -53,7 +53,7 @@
         self._is_down = False
         self._late_since_ms = None
         self._load = 0
-        self._load_ms = -LOAD_FRESH_MS
+        self._load_ms = -math.inf
         self._slowdown_ms = now_ms
         self._slowdown = 1.0
         self._failing_share = 0.0
