--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -25,6 +25,7 @@
 from auburnhollow.limits.rate_gossip import RateGossip
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
+from auburnhollow.pace import Pace, PaceGossip
 from auburnhollow.peers import PeerClient, PeerServer
 from auburnhollow.quarantine import EvidenceSaver, Quarantine
 from auburnhollow.quarantine.gossip import QuarantineGossip
@@ -45,6 +46,7 @@
 
 from ..fleet import Fleet
 from .lag import LoopLag
+from .settings import PACE_ALWAYS, PACE_CONFIGURED
 
 log = logging.getLogger("node")
 
@@ -151,6 +153,7 @@
         self._wire_quota()
         self._access = Access(settings.revoke_ms if settings.strict_revoke else None)
         self._subqueries = SubqueryServer(self.dispatcher, self._is_open, self._check_subquery)
+        self._wire_pace()
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
         self.peer_server.on(SubqueryRepeats, self._subqueries.allow_repeats)
         shared = SharedFeed(feed, self.peers, self.fleet.membership, self.clock, self._random)
@@ -297,6 +300,7 @@
             "relay.servers_limited": len(self.rates),
             "gate.cold_servers": len(self.gate.cold),
             "gate.evacuated": len(self.gate.evacuations),
+            "pace.servers": len(self.dispatcher.choice.pace),
             "relay.repeats_left": self.dispatcher.least_budget_left(),
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         }
@@ -387,6 +391,29 @@
         )
         self.peer_server.on_stream(DelegatedRequest, self._delegation_server.answer)
 
+    def _wire_pace(self):
+        choice = self.dispatcher.choice
+        choice.pace = Pace(
+            self.clock,
+            self._random,
+            self.metrics,
+            lambda server: choice.pressure(server, self.registry.usable(server.service)),
+            self._is_paced,
+        )
+        PaceGossip(choice.pace, self.fleet.gossiper, self.fleet.table, self.clock)
+        self.registry.on_start = self._on_server_start
+
+    def _is_paced(self, service):
+        """Return whether settings or configuration ask for the pace of a service's servers."""
+        if self.settings.pace != PACE_CONFIGURED:
+            return self.settings.pace == PACE_ALWAYS
+        known = None if self.routes is None else self.routes.services.get(service)
+        return known is not None and known.warm_up_ms > 0
+
+    def _on_server_start(self, server):
+        is_first_read = not self.follower.first_read_done.is_set()
+        self.dispatcher.choice.pace.seen(server, is_first_read)
+
     def _is_open(self):
         """Return whether this node calls servers for other nodes."""
         return self.is_ready and not self.dispatcher.reach.is_cut_off
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/status.py
@@ -143,6 +143,8 @@
         "passed_over": view.is_ejected(now_ms),
         "cold_turn_in_ms": round(node.gate.cold.wait_ms(server.incarnation)),
         "withheld": node.gate.reason(server, homes),
+        "pace": round(node.dispatcher.choice.pace.share(server.incarnation), 3),
+        "pace_reason": node.dispatcher.choice.pace.reason(server.incarnation),
     }
 
 
--- a/packages/auburnhollow/src/auburnhollow/servers/registry.py
+++ b/packages/auburnhollow/src/auburnhollow/servers/registry.py
@@ -61,6 +61,8 @@
     :param clock: :class:`~auburnhollow.clock.Clock`.
 
     ``on_server`` is a function that is called with each entry put in force, or ``None``.
+    ``on_start`` is a callback that receives each server that is first seen, or seen with a new
+    start time, and may get requests.
 
     >>> registry.put(server)
     >>> registry.usable("search-3")
@@ -75,6 +77,7 @@
         "_outage",
         "_usable",
         "on_server",
+        "on_start",
     )
 
     def __init__(self, clock):
@@ -85,6 +88,7 @@
         self._outage = False
         self._grace_until_ms = None
         self.on_server = None
+        self.on_start = None
 
     def __len__(self):
         return len(self._by_id)
@@ -158,6 +162,9 @@
             self._clear_usable(known.service)
         if self.on_server is not None:
             self.on_server(server)
+        is_start = known is None or known.started_ms != server.started_ms
+        if is_start and server.state is ServerState.READY and self.on_start is not None:
+            self.on_start(server)
 
     def remove(self, server_id):
         """Remove a server whose entry is gone, but not at once if an outage may be the cause."""
