Read the slowness of a server's machine from its load header, and choose by it

Cause: a load header with a fourth figure made the whole header count as absent. Change: the figure is read, bounded to 0.5 to 6, decays with half a second's time constant, and is kept apart from the slowdown that is learned from calls, which lasts seconds. Ruled out: learning it into the slowdown as a sample: the choice then avoids a server for seconds after a spell of half a second. Not measured yet on a deployment whose servers report it.

--- a/packages/auburnhollow/src/auburnhollow/relay/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/messages.py
@@ -56,13 +56,12 @@
 
     ``signature`` is the server's signature of the answer, or ``None``; ``load`` is the number of
     requests that the server reports to have, or ``None``; ``notice`` is a
-    :class:`~auburnhollow.limits.Notice`, or ``None`` if nothing is known.
+    :class:`~auburnhollow.limits.Notice`, or ``None`` if nothing is known; ``slowness`` is how many
+    times as long as usual work takes on the server's machine now, or ``None``.
     """
 
-    __slots__ = ("status", "headers", "body", "signature", "load", "notice")
-
-    def __init__(self, notice=None, **fields):
-        super().__init__(notice=notice, **fields)
+    __slots__ = ("status", "headers", "body", "signature", "load", "notice", "slowness")
+    DEFAULTS = {"notice": None, "slowness": None}
 
     @property
     def is_success(self):
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -71,7 +71,7 @@
         self._metrics.timing("relay.call_ms", now_ms - call.began_ms)
         work_ms = now_ms - call.began_ms - self._choice.round_trip_ms(call.server)
         ratio = self._times.observe(work_ms, call.slowdown)
-        self.view(call).answered(call, ratio, answer.load, now_ms)
+        self.view(call).answered(call, ratio, answer.load, now_ms, answer.slowness)
 
     def failed(self, call, error):
         """Record a :class:`~auburnhollow.exceptions.BackendError`."""
--- a/packages/auburnhollow/src/auburnhollow/relay/views.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/views.py
@@ -2,6 +2,8 @@
 
 import math
 
+from ..placement.slowness import MachineSlowness
+
 # One call may meet a pause or a long request; a server counts as slow only after two.
 SLOWDOWN_SMOOTHING = 0.25
 MAX_SAMPLE_GROWTH = 3.0
@@ -38,6 +40,7 @@
         "_late_since_ms",
         "_load",
         "_load_ms",
+        "_machine",
         "_slowdown",
         "_slowdown_ms",
         "_warm_up_until_ms",
@@ -58,6 +61,7 @@
         self._slowdown = 1.0
         self._failing_share = 0.0
         self._failing_share_ms = now_ms
+        self._machine = MachineSlowness()
         self.calls = {}
 
     @property
@@ -69,6 +73,8 @@
         """Return the ratio of its work time to the typical one, decaying towards 1."""
         decay = math.exp((self._slowdown_ms - now_ms) / DECAY_MS)
         slowdown = 1.0 + (self._slowdown - 1.0) * decay
+        if self._machine.is_reported:
+            slowdown *= self._machine.factor(now_ms)
         if now_ms < self._warm_up_until_ms:
             return slowdown * WARM_UP_SLOWDOWN
         return slowdown
@@ -119,11 +125,12 @@
         if self._late_since_ms is None:
             self._late_since_ms = began_ms
 
-    def answered(self, call, ratio, load, now_ms):
+    def answered(self, call, ratio, load, now_ms, slowness=None):
         """Record an answer.
 
         :param ratio: its work time divided by the typical one.
         :param load: how many requests the server reports to have, or ``None``.
+        :param slowness: the slowness of its machine that the server reports, or ``None``.
         """
         began_ms = self.calls.pop(call, now_ms)
         self._failures = 0
@@ -133,6 +140,10 @@
         if load is not None:
             self._load = load
             self._load_ms = now_ms
+        if slowness is not None:
+            self._machine.hear(slowness, now_ms)
+            # What the machine's spell explains is over sooner than what the calls teach.
+            ratio /= self._machine.factor(now_ms)
         if began_ms < self._slowdown_ms and ratio > 1.0 and self._late_since_ms is None:
             # Calls delayed by the same pause count once.
             return
