Reserve time for a node's own lag in answers that are held for their last parts

Cause: an answer is held until 15 ms before the objective; on a node whose timers fire late it leaves after it. Change: the fan-out's timers tell how late they fire; mean and four deviations of that are reserved as well, at most 15 % of the objective. Shown as node.lag_reserve_ms.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -269,6 +269,7 @@
             "node.connections": self.count_connections() if self.count_connections else None,
             "node.cut_off": int(self.dispatcher.reach.is_cut_off),
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
+            "node.lag_reserve_ms": round(self.dispatcher.lag.reserve_ms(math.inf), 1),
             "relay.servers_limited": len(self.rates),
             "relay.repeats_left": self.dispatcher.least_budget_left(),
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
--- a/packages/auburnhollow/src/auburnhollow/placement/__init__.py
+++ b/packages/auburnhollow/src/auburnhollow/placement/__init__.py
@@ -1,5 +1,6 @@
-"""Placing requests where room is: the slowness that servers report of their machines."""
+"""Placing requests where room is: machines' slowness, and time for the way back."""
 
+from .lag import LagReserve
 from .slowness import MachineSlowness
 
-__all__ = ["MachineSlowness"]
+__all__ = ["LagReserve", "MachineSlowness"]
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -3,6 +3,7 @@
 from contextlib import contextmanager
 
 from ..exceptions import Ran, Unavailable
+from ..placement import LagReserve
 from ..quarantine import EndChecks
 from ..reach import Reach
 from ..records import Record
@@ -61,6 +62,7 @@
         "clock",
         "end_checks",
         "is_stranded",
+        "lag",
         "metrics",
         "quarantine",
         "reach",
@@ -97,6 +99,7 @@
         self.readmission = Readmission(client, registry, choice, clock)
         self.end_checks = EndChecks(clock, self._can_connect, self._neighbours, self._elsewhere)
         self.reach = Reach(clock, random, self._can_connect, registry)
+        self.lag = LagReserve()
         self.is_stranded = False
         self._fan_outs = set()
 
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -104,7 +104,8 @@
         self._min_answers = min_answers
         self._answer_count = 0
         self._is_complete = False
-        self._objective_ms = request.received_ms + route.objective_ms - ANSWER_MS
+        reserve_ms = ANSWER_MS + dispatcher.lag.reserve_ms(route.objective_ms)
+        self._objective_ms = request.received_ms + route.objective_ms - reserve_ms
         if not min_answers:
             self._objective_ms = request.limit_ms
         self._wait_until_ms = request.received_ms + route.objective_ms - ANSWER_MS
@@ -506,7 +507,8 @@
                 next_ms = min(next_ms, subrequest.hedge_ms)
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
-        timer = loop.call_later(max(0.0, next_ms - now_ms) / MS_PER_SECOND, self.wake)
+        delay_s = max(0.0, next_ms - now_ms) / MS_PER_SECOND
+        timer = loop.call_later(delay_s, self._wake_at, max(now_ms, next_ms))
         try:
             await self._waiter
         finally:
@@ -518,6 +520,10 @@
         if self._on_change is not None:
             self._on_change()
 
+    def _wake_at(self, due_ms):
+        self._dispatcher.lag.observe(self._clock.now_ms() - due_ms)
+        self.wake()
+
     def wake(self):
         """Wake the fan-out to check its subrequests again."""
         if self._waiter is not None and not self._waiter.done():
