--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -13,6 +13,7 @@
     QueryError,
     Ran,
 )
+from ..placement import hedge_at_ms
 from . import call_log, failures
 from .outcomes import OutcomeRecorder
 from .repeats import MIN_CALL_MS, Repeats
@@ -25,6 +26,8 @@
 # end before the caller's deadline.
 LINGER_MS = 350.0
 HEDGE_RETRY_MS = 30.0
+# An early hedge leaves the budget room for this many repeats of calls that fail or are late.
+EARLY_HEDGE_ROOM = 3
 # Callers that are refused because servers have named rates come back after this time or later.
 UNAVAILABLE_RETRY_MS = 250.0
 MAX_RETRY_MS = 5_000.0
@@ -321,7 +324,7 @@
         subrequest.tried.append(server.id)
         late_ms = now_ms + self._times.late_after_ms(self._choice.round_trip_ms(server), slowdown)
         call = Call(subrequest, server, slowdown, now_ms, late_ms)
-        subrequest.hedge_ms = late_ms
+        subrequest.hedge_ms = self._hedge_at_ms(call)
         subrequest.calls.append(call)
         subrequest.all_calls.append(call)
         call.keep_alive = view.began(call, now_ms)
@@ -464,22 +467,55 @@
             subrequest.answer = subrequest.error
             self._answer_count += 1
 
+    def _hedge_at_ms(self, call):
+        """Return when to send a hedge for a call that has just been sent."""
+        subrequest = call.subrequest
+        if not self._route.shards or self._repeats.is_used_up(subrequest):
+            return call.late_ms
+        nearest_ms = math.inf
+        for server in self._dispatcher.registry.usable(subrequest.service):
+            if server.id not in subrequest.tried:
+                nearest_ms = min(nearest_ms, self._choice.round_trip_ms(server))
+        if nearest_ms == math.inf:
+            return call.late_ms
+        round_trips_ms = (self._choice.round_trip_ms(call.server), nearest_ms)
+        return hedge_at_ms(
+            call.began_ms, call.late_ms, self._wait_until_ms, round_trips_ms, self._times.work_ms
+        )
+
+    def _mark_late(self, subrequest, now_ms):
+        """Mark the servers of late calls; return when the next call is late, or ``None``."""
+        next_ms = None
+        for call in subrequest.calls:
+            if now_ms < call.late_ms:
+                next_ms = call.late_ms if next_ms is None else min(next_ms, call.late_ms)
+                continue
+            self._choice.view(call.server).mark_late(call.began_ms)
+            self._dispatcher.reach.record_silence(call.server)
+        return next_ms
+
     def _send_hedges(self):
-        """Send hedges to other servers for late calls."""
+        """Send hedges to other servers for calls that are late, or too late to wait for that."""
         now_ms = self._clock.now_ms()
         for subrequest in self._subrequests:
             if subrequest.is_over or subrequest.hedge_ms is None or now_ms < subrequest.hedge_ms:
                 continue
-            subrequest.hedge_ms = None
-            for call in subrequest.calls:
-                self._choice.view(call.server).mark_late(call.began_ms)
-                self._dispatcher.reach.record_silence(call.server)
+            subrequest.hedge_ms = next_ms = self._mark_late(subrequest, now_ms)
             if self._repeats.is_used_up(subrequest):
                 continue
-            if not self._repeats.may_repeat(subrequest) or not self._try_repeat(
-                subrequest, "hedge sent"
-            ):
+            is_early = next_ms is not None
+            if is_early and not self._may_hedge_early(subrequest):
+                continue
+            text = "early hedge sent" if is_early else "hedge sent"
+            if not self._repeats.may_repeat(subrequest) or not self._try_repeat(subrequest, text):
                 subrequest.hedge_ms = now_ms + HEDGE_RETRY_MS
+            if is_early:
+                subrequest.hedge_ms = min(next_ms, subrequest.hedge_ms)
+
+    def _may_hedge_early(self, subrequest):
+        """Return whether to send a hedge for a single call that is not late yet."""
+        has_room = self._dispatcher.budget(subrequest.service).left > EARLY_HEDGE_ROOM
+        return has_room and len(subrequest.calls) == 1
 
     def _try_repeat(self, subrequest, text):
         """Send the subrequest again if the budget allows; return whether it was sent."""
@@ -489,7 +525,9 @@
         if not self._send(subrequest, server):
             return False
         dispatcher = self._dispatcher
-        dispatcher.metrics.incr("relay.hedges" if text == "hedge sent" else "relay.retries")
+        dispatcher.metrics.incr("relay.retries" if text == "retry sent" else "relay.hedges")
+        if text == "early hedge sent":
+            dispatcher.metrics.incr("relay.early_hedges")
         self._notify_change()
         age_ms = round(self._clock.now_ms() - self._request.received_ms)
         budget_left = dispatcher.budget(subrequest.service).left
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -69,6 +69,8 @@
         self._end_checks.record_answer(call.server)
         self._metrics.incr("relay.calls_answered")
         self._metrics.timing("relay.call_ms", now_ms - call.began_ms)
+        if answer.slowness is not None:
+            self._metrics.incr("relay.slowness_heard")
         work_ms = now_ms - call.began_ms - self._choice.round_trip_ms(call.server)
         ratio = self._times.observe(work_ms, call.slowdown)
         self.view(call).answered(call, ratio, answer.load, now_ms, answer.slowness)
