--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -30,7 +30,7 @@
 )
 from auburnhollow_node.relay.settings import check_settings
 
-from . import formatting, html_timeline, relay_formatting, request_trace
+from . import formatting, html_timeline, relay_formatting, request_trace, table_check, table_reading
 from .fleet import FleetClient
 
 MAX_WRITE_ATTEMPTS = 20
@@ -45,6 +45,10 @@
     """Some live nodes did not confirm that they use a revision in time."""
 
 
+class FoundInCheck(AuburnhollowError):
+    """The check of a configuration has findings, which are printed already."""
+
+
 class UnknownRequest(AuburnhollowError):
     """The log files have no line of a request."""
 
@@ -196,6 +200,27 @@
         explanation = asyncio.run(ask())
         self._print(explanation, relay_formatting.format_route(explanation))
 
+    def relay_check(
+        self, file, adapter=table_reading.DEFAULT_ADAPTER, live=None, against=None, regions=None
+    ):
+        """Check a configuration of the relay nodes before it is sent.
+
+        Prints errors, entries that can never match, limits that contradict each other, and what
+        differs from the version in force. Ends with code 2 if there are findings. Keys of
+        client accounts are never printed.
+
+        :param file: path of the configuration file.
+        :param adapter: package that speaks to the platform.
+        :param live: host:port of the platform's store, to compare with the version in force there,
+            and to find services without servers.
+        :param against: path of another configuration file to compare with instead.
+        :param regions: JSON object of data centres to regions, as in a node's settings.
+        """
+        report = table_reading.read_report(file, adapter, live, against, regions)
+        self._print(report.to_map(), table_check.format_report(report))
+        if report.findings:
+            raise FoundInCheck(f"{len(report.findings)} findings")
+
     def timeline(self, minutes=DEFAULT_TIMELINE_MINUTES, html=None, follow_request=None):
         """Merge the events of the given nodes into one timeline.
 
