--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -297,6 +297,7 @@
             "node.connections": self.count_connections() if self.count_connections else None,
             "node.cut_off": int(self.dispatcher.reach.is_cut_off),
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
+            "node.lag_reserve_ms": round(self.dispatcher.lag.reserve_ms(math.inf), 1),
             "relay.servers_limited": len(self.rates),
             "gate.cold_servers": len(self.gate.cold),
             "gate.evacuated": len(self.gate.evacuations),
@@ -317,6 +318,7 @@
             retry_ratio=settings.retry_ratio,
             retry_window_ms=settings.retry_window_ms,
             retry_slack=settings.retry_slack,
+            short_objectives=settings.short_objectives,
         )
 
     def _record_answer(self, request, route, answer):
--- a/packages/auburnhollow/src/auburnhollow/relay/choice.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/choice.py
@@ -45,7 +45,7 @@
         all of them.
 
     ``pace`` is the :class:`~auburnhollow.pace.Pace` of servers that have started or recovered, or
-    ``None``.
+    ``None``. ``has_slowness`` is set once a server has reported how slow its machine is.
     """
 
     __slots__ = (
@@ -59,6 +59,7 @@
         "_round_trips_ms",
         "_sources",
         "_views",
+        "has_slowness",
         "pace",
     )
 
@@ -75,6 +76,7 @@
         self._connection_limits = {}
         self._round_trips_ms = {}
         self._views = {}
+        self.has_slowness = False
         self.pace = None
 
     def choose(self, servers, work_ms, tried=(), until_ms=math.inf):
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -3,6 +3,7 @@
 from contextlib import contextmanager
 
 from ..exceptions import Ran, Unavailable
+from ..placement import LagReserve
 from ..quarantine import EndChecks
 from ..reach import Reach
 from ..records import Record
@@ -19,13 +20,15 @@
 
 
 class DispatchSettings(Record):
-    """Limits on repeats, that is, on retries and hedges.
+    """Limits on repeats, that is, on retries and hedges, and how objectives are met.
 
     ``retry_ratio`` is the number of repeats allowed per request of a service within
     ``retry_window_ms``; ``retry_slack`` is how many all nodes together may send beyond that.
+    ``short_objectives`` is set if objectives are short beside the ways to servers and callers.
     """
 
-    __slots__ = ("retry_ratio", "retry_window_ms", "retry_slack")
+    __slots__ = ("retry_ratio", "retry_window_ms", "retry_slack", "short_objectives")
+    DEFAULTS = {"short_objectives": False}
 
 
 class Dispatcher:
@@ -61,6 +64,7 @@
         "end_checks",
         "gate",
         "is_stranded",
+        "lag",
         "metrics",
         "quarantine",
         "reach",
@@ -97,6 +101,7 @@
         self.readmission = Readmission(gate, registry, choice, clock)
         self.end_checks = EndChecks(clock, self._can_connect, self._neighbours, self._elsewhere)
         self.reach = Reach(clock, random, self._can_connect, registry)
+        self.lag = LagReserve()
         self.is_stranded = False
         self._fan_outs = set()
 
@@ -154,6 +159,14 @@
         for fan_out in list(self._fan_outs):
             fan_out.give_up_calls()
 
+    @property
+    def hurries(self):
+        """Whether hedges go out early and answers leave time for this node's own delay.
+
+        So the settings ask for, or servers that report how slow their machines are.
+        """
+        return self._settings.short_objectives or self.choice.has_slowness
+
     def budget(self, service):
         """Return the :class:`WindowBudget` for repeats to a service."""
         budget = self._budgets.get(service)
--- a/packages/auburnhollow/src/auburnhollow/relay/messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/messages.py
@@ -15,7 +15,8 @@
     ``key_digest`` is the digest of the caller's key, ``account`` the name of the client account
     that holds it, ``homes`` the regions whose servers may get the request; each is ``None`` where
     it does not apply. ``withheld`` are headers that are forwarded only if no client accounts are
-    configured.
+    configured. ``connect_ms`` is how long the caller has waited for a new connection before, in
+    milliseconds.
     """
 
     __slots__ = (
@@ -32,8 +33,15 @@
         "account",
         "homes",
         "withheld",
+        "connect_ms",
     )
-    DEFAULTS = {"key_digest": None, "account": None, "homes": None, "withheld": ()}
+    DEFAULTS = {
+        "key_digest": None,
+        "account": None,
+        "homes": None,
+        "withheld": (),
+        "connect_ms": 0.0,
+    }
 
     @property
     def fingerprint(self):
@@ -56,13 +64,12 @@
 
     ``signature`` is the server's signature of the answer, or ``None``; ``load`` is the number of
     requests that the server reports to have, or ``None``; ``notice`` is a
-    :class:`~auburnhollow.limits.Notice`, or ``None`` if nothing is known.
+    :class:`~auburnhollow.limits.Notice`, or ``None`` if nothing is known; ``slowness`` is how many
+    times as long as usual work takes on the server's machine now, or ``None``.
     """
 
-    __slots__ = ("status", "headers", "body", "signature", "load", "notice")
-
-    def __init__(self, notice=None, **fields):
-        super().__init__(notice=notice, **fields)
+    __slots__ = ("status", "headers", "body", "signature", "load", "notice", "slowness")
+    DEFAULTS = {"notice": None, "slowness": None}
 
     @property
     def is_success(self):
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -69,9 +69,12 @@
         self._end_checks.record_answer(call.server)
         self._metrics.incr("relay.calls_answered")
         self._metrics.timing("relay.call_ms", now_ms - call.began_ms)
+        if answer.slowness is not None:
+            self._metrics.incr("relay.slowness_heard")
+            self._choice.has_slowness = True
         work_ms = now_ms - call.began_ms - self._choice.round_trip_ms(call.server)
         ratio = self._times.observe(work_ms, call.slowdown)
-        self.view(call).answered(call, ratio, answer.load, now_ms)
+        self.view(call).answered(call, ratio, answer.load, now_ms, answer.slowness)
         pace = self._choice.pace
         if pace is not None:
             pace.answered(call.server, call.began_ms, ratio, answer.load)
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -119,6 +119,31 @@
     assert 150.0 <= took_ms <= 200.0
 
 
+def time_of_a_partial_answer(connect_ms, **settings):
+    """Return how long a caller waits whose first shard does not answer by the objective."""
+
+    async def scenario():
+        bed = new_bed(**settings)
+        for number in range(3):
+            bed.servers.behaviour[f"s1-{number}"] = 900.0
+        started_ms = bed.clock.now_ms()
+        request = make_request(bed.clock, connect_ms=connect_ms)
+        await bed.dispatcher.gather(request, make_route(SHARDS, objective_ms=200.0))
+        return bed.clock.now_ms() - started_ms
+
+    return run_virtually(scenario())
+
+
+def test_a_caller_that_had_to_connect_is_answered_sooner_by_the_time_it_took():
+    took_ms = time_of_a_partial_answer(connect_ms=6.0, short_objectives=True)
+    assert 178.0 <= took_ms <= 200.0 - 15.0 - 6.0 + 1.0
+
+
+def test_without_short_objectives_answers_leave_as_before():
+    took_ms = time_of_a_partial_answer(connect_ms=6.0)
+    assert 200.0 - 15.0 - 1.0 <= took_ms <= 200.0 - 15.0 + 1.0
+
+
 def test_late_answers_are_awaited_below_the_least_share():
     async def scenario():
         bed = new_bed()
--- a/standins/src/auburnhollow_standins/fake_servers.py
+++ b/standins/src/auburnhollow_standins/fake_servers.py
@@ -147,12 +147,20 @@
     :param retry_ratio: retries allowed per request.
     :param home: data centre of the node.
     :param aggregators: :class:`~auburnhollow.relay.aggregators.Aggregators`, or ``None``.
+    :param settings: further :class:`~auburnhollow.relay.DispatchSettings`.
     """
 
     __slots__ = ("clock", "dispatcher", "gate", "registry", "servers")
 
     def __init__(
-        self, replicas, retry_ratio=1.0, seed=1, work_ms=20.0, home=HOME, aggregators=None
+        self,
+        replicas,
+        retry_ratio=1.0,
+        seed=1,
+        work_ms=20.0,
+        home=HOME,
+        aggregators=None,
+        **settings,
     ):
         self.clock = VirtualClock()
         rng = random.Random(seed)
@@ -174,7 +182,9 @@
             rng,
             metrics,
             Quarantine(self.clock, Recorder("node-1", self.clock), rng),
-            DispatchSettings(retry_ratio=retry_ratio, retry_window_ms=10_000.0, retry_slack=0.0),
+            DispatchSettings(
+                retry_ratio=retry_ratio, retry_window_ms=10_000.0, retry_slack=0.0, **settings
+            ),
             lambda: 1,
             aggregators,
         )
