--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -6,6 +6,7 @@
 import random
 import resource
 
+from auburnhollow.admission import Ask, Entry
 from auburnhollow.clock import Clock
 from auburnhollow.decisions import log_decision
 from auburnhollow.events import Recorder
@@ -28,6 +29,7 @@
 from auburnhollow.relay.choice import ServerChoice
 from auburnhollow.relay.delegation import Delegation, DelegationServer
 from auburnhollow.relay.delegation_messages import DelegatedRequest
+from auburnhollow.relay.dispatcher import min_shards
 from auburnhollow.relay.fanout import ANSWER_MS
 from auburnhollow.relay.rate_shares import RateShares
 from auburnhollow.relay.subquery_messages import SubqueryAsk, SubqueryRepeats
@@ -82,6 +84,7 @@
         "clock",
         "count_connections",
         "dispatcher",
+        "entry",
         "events",
         "fleet",
         "follower",
@@ -131,6 +134,13 @@
             self._count_nodes,
             aggregators,
         )
+        self.entry = Entry(
+            self.clock,
+            self._random,
+            self.dispatcher.room,
+            self.registry.usable,
+            self.metrics,
+        )
         self._wire_reach()
         self._subqueries = SubqueryServer(self.dispatcher, self._is_open)
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
@@ -269,6 +279,7 @@
             "node.connections": self.count_connections() if self.count_connections else None,
             "node.cut_off": int(self.dispatcher.reach.is_cut_off),
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
+            "admission.waiting": self.entry.waiting,
             "relay.servers_limited": len(self.rates),
             "relay.repeats_left": self.dispatcher.least_budget_left(),
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
@@ -402,10 +413,40 @@
 
     async def _dispatch_here(self, request, route, is_repeat=False):
         if route.shards:
+            await self._let_in(request, route, route.shards, is_repeat)
             return await self.dispatcher.gather(request, route, is_repeat)
         service = self.routes.branch(route, self._random)
+        await self._let_in(request, route, (service,), is_repeat)
         return await self.dispatcher.forward(request, route, service, is_repeat)
 
+    async def _let_in(self, request, route, services, is_repeat):
+        """Wait until the servers have room for a request; one that may have run is not refused.
+
+        :raises Overloaded: if they will not have any in time.
+        """
+        room = self.dispatcher.room
+        if not room.is_busy or is_repeat or not self.settings.admission:
+            return
+        ask = Ask(
+            id=request.id,
+            route=route.name,
+            account=request.account,
+            urgency=self._urgency(request, route),
+            services=services,
+            least=min_shards(route) if route.shards else 1,
+            work_ms=room.work_ms(route.name, self.dispatcher.times(route).work_ms),
+            received_ms=request.received_ms,
+            objective_ms=route.objective_ms - ANSWER_MS,
+        )
+        await self.entry.let_in(ask)
+
+    def _urgency(self, request, route):
+        """Return the urgency of the request's client account, or else that of its route."""
+        account = self.routes.accounts.get(request.account)
+        if account is None or account.urgency is None:
+            return route.urgency
+        return account.urgency
+
     async def _handle_delegated(self, request, is_repeat, attempts):
         """Answer a request that another node has received."""
         route = self._route(request)
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/admission/room.py
@@ -0,0 +1,121 @@
+"""How long requests wait at backend servers, from the load that these report."""
+
+import math
+
+# Reports of other calls arrive about this often at a busy server; the queue hardly changes by then.
+FRESH_MS = 100.0
+# After this time without a report of a queue, nothing is known to be full.
+BUSY_MS = 1_000.0
+# Averages over about ten answers.
+SMOOTHING = 0.1
+
+
+class Report:
+    """A server's last report of a queue.
+
+    ``queue`` is the number of requests that wait, with those that this node has started since;
+    ``heard_ms`` is the time of the report.
+    """
+
+    __slots__ = ("heard_ms", "queue")
+
+    def __init__(self, queue, heard_ms):
+        self.queue = queue
+        self.heard_ms = heard_ms
+
+
+class Room:
+    """Tracks the queues at backend servers, and how fast they drain.
+
+    It answers overload of servers: too many callers, or too few or slow servers. A report is
+    trusted for ``FRESH_MS``; from then on the queue is taken to drain, so that old reports stop
+    counting by themselves. A server without a report has room: nothing is refused for lack of
+    knowledge.
+
+    :param clock: :class:`~auburnhollow.clock.Clock`.
+
+    >>> room.hear(server, "listing", load=12, work_ms=80.0)
+    >>> room.queue_ms([server])
+    23.5
+    """
+
+    __slots__ = ("_busy_until_ms", "_clock", "_reports", "_service_ms", "_work_ms")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._reports = {}
+        self._service_ms = {}
+        self._work_ms = {}
+        self._busy_until_ms = -math.inf
+
+    @property
+    def is_busy(self):
+        """Whether a server has reported a queue within ``BUSY_MS``."""
+        return self._clock.now_ms() < self._busy_until_ms
+
+    def hear(self, server, route_name, load, work_ms):
+        """Record an answer.
+
+        :param server: :class:`~auburnhollow.servers.Server`.
+        :param load: how many requests the server reports to have, or ``None``.
+        :param work_ms: how long the server took in milliseconds, with the wait for a slot.
+        """
+        if load is None:
+            return
+        incarnation = server.incarnation
+        queue = max(0, load - server.slots)
+        self._service_ms[incarnation] = _smoothed(
+            self._service_ms.get(incarnation), work_ms / (1.0 + queue / server.slots)
+        )
+        if queue:
+            self._reports[incarnation] = Report(queue, self._clock.now_ms())
+            self._busy_until_ms = self._clock.now_ms() + BUSY_MS
+            return
+        self._work_ms[route_name] = _smoothed(self._work_ms.get(route_name), work_ms)
+        self._reports.pop(incarnation, None)
+
+    def hear_full(self, server):
+        """Record that a server has refused a request because its queue is full."""
+        report = self._reports.get(server.incarnation)
+        queue = max(server.slots, 0.0 if report is None else report.queue)
+        self._reports[server.incarnation] = Report(queue, self._clock.now_ms())
+        self._busy_until_ms = self._clock.now_ms() + BUSY_MS
+
+    def started(self, servers):
+        """Record that this node starts a request on one of the servers of a service."""
+        for server in servers:
+            report = self._reports.get(server.incarnation)
+            if report is not None:
+                report.queue += 1.0 / len(servers)
+
+    def queue_ms(self, servers):
+        """Return the shortest wait for a slot at any of the servers; infinity without servers."""
+        least_ms = math.inf
+        for server in servers:
+            least_ms = min(least_ms, self._server_queue_ms(server))
+            if least_ms == 0.0:
+                break
+        return least_ms
+
+    def work_ms(self, route_name, default):
+        """Return how long a route's calls take without a wait, in milliseconds."""
+        return self._work_ms.get(route_name, default)
+
+    def forget(self, servers):
+        """Drop what is known of all servers except these."""
+        kept = {server.incarnation for server in servers}
+        for known in (self._reports, self._service_ms):
+            for incarnation in [each for each in known if each not in kept]:
+                del known[incarnation]
+
+    def _server_queue_ms(self, server):
+        report = self._reports.get(server.incarnation)
+        service_ms = self._service_ms.get(server.incarnation)
+        if report is None or service_ms is None:
+            return 0.0
+        age_ms = max(0.0, self._clock.now_ms() - report.heard_ms - FRESH_MS)
+        return max(0.0, report.queue / server.slots * service_ms - age_ms)
+
+
+def _smoothed(known, sample):
+    return sample if known is None else known + SMOOTHING * (sample - known)
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -2,6 +2,7 @@
 
 from contextlib import contextmanager
 
+from ..admission import Room
 from ..exceptions import Ran, Unavailable
 from ..quarantine import EndChecks
 from ..reach import Reach
@@ -66,6 +67,7 @@
         "reach",
         "readmission",
         "registry",
+        "room",
     )
 
     def __init__(
@@ -84,6 +86,7 @@
         self.aggregators = aggregators
         self.client = client
         self.registry = registry
+        self.room = Room(clock)
         self.choice = choice
         self.clock = clock
         self.metrics = metrics
@@ -209,6 +212,7 @@
         self._times = {name: times for name, times in self._times.items() if name in names}
         self.choice.set_connection_limits(table.services)
         self.choice.forget(self.registry.servers)
+        self.room.forget(self.registry.servers)
 
     async def _can_connect(self, server):
         return await self.client.can_connect(server)
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -97,7 +97,7 @@
         self._times = dispatcher.times(route)
         self._quarantine = dispatcher.quarantine
         self._fingerprint = request.fingerprint
-        self._outcomes = OutcomeRecorder(dispatcher, request, self._times, self._fingerprint)
+        self._outcomes = OutcomeRecorder(dispatcher, request, route, self._fingerprint)
         self._repeats = Repeats(dispatcher, request, route, self._fingerprint)
         self._subqueries = Subqueries(self, dispatcher, aggregators, request, route, self._repeats)
         self._subrequests = [Subrequest(service) for service in services]
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -24,7 +24,7 @@
 
     :param dispatcher: :class:`~auburnhollow.relay.Dispatcher`.
     :param request: :class:`~auburnhollow.relay.Request`.
-    :param times: :class:`~auburnhollow.relay.routetimes.RouteTimes` of its route.
+    :param route: :class:`~auburnhollow.routes.Route`.
     :param fingerprint: the request's fingerprint for the quarantine.
     """
 
@@ -39,10 +39,12 @@
         "_readmission",
         "_registry",
         "_request",
+        "_room",
+        "_route",
         "_times",
     )
 
-    def __init__(self, dispatcher, request, times, fingerprint):
+    def __init__(self, dispatcher, request, route, fingerprint):
         self._choice = dispatcher.choice
         self._clock = dispatcher.clock
         self._end_checks = dispatcher.end_checks
@@ -52,7 +54,9 @@
         self._readmission = dispatcher.readmission
         self._registry = dispatcher.registry
         self._request = request
-        self._times = times
+        self._room = dispatcher.room
+        self._route = route
+        self._times = dispatcher.times(route)
         self._fingerprint = fingerprint
 
     def answered(self, call, answer):
@@ -72,6 +76,7 @@
         work_ms = now_ms - call.began_ms - self._choice.round_trip_ms(call.server)
         ratio = self._times.observe(work_ms, call.slowdown)
         self.view(call).answered(call, ratio, answer.load, now_ms)
+        self._room.hear(call.server, self._route.name, answer.load, work_ms)
 
     def failed(self, call, error):
         """Record a :class:`~auburnhollow.exceptions.BackendError`."""
@@ -98,6 +103,11 @@
         """Remove a server from the registry because another one answers at its address."""
         self._registry.misdirected(server)
 
+    def refused(self, call, now_ms):
+        """Record that the server refused a call because it is full."""
+        self.view(call).shed(call, call.server.slots, now_ms)
+        self._room.hear_full(call.server)
+
     def unreachable(self, call):
         """Avoid a server that accepted no connection until it accepts one."""
         self._readmission.watch(call.server)
@@ -201,6 +211,6 @@
 @record_error.register
 def _(_error: BackendRefused, call, outcomes, now_ms):
     outcomes.spoke()
-    outcomes.view(call).shed(call, call.server.slots, now_ms)
+    outcomes.refused(call, now_ms)
     # The server did not run the request and may have capacity soon, so it may be tried again.
     call.subrequest.tried.remove(call.server.id)
