--- a/packages/auburnhollow/src/auburnhollow/admission/room.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/room.py
@@ -77,7 +77,7 @@
     def hear_full(self, server):
         """Record that a server has refused a request because its queue is full."""
         report = self._reports.get(server.incarnation)
-        queue = max(server.slots, 0.0 if report is None else report.queue)
+        queue = max(2 * server.slots, 0.0 if report is None else report.queue)
         self._reports[server.incarnation] = Report(queue, self._clock.now_ms())
         self._busy_until_ms = self._clock.now_ms() + BUSY_MS
 
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -103,6 +103,10 @@
         """Remove a server from the registry because another one answers at its address."""
         self._registry.misdirected(server)
 
+    def full(self, call):
+        """Record that the server accepted no more connections."""
+        self._room.hear_full(call.server)
+
     def refused(self, call, now_ms):
         """Record that the server refused a call because it is full."""
         self.view(call).shed(call, call.server.slots, now_ms)
@@ -180,6 +184,7 @@
 @record_error.register
 def _(_error: BackendFull, call, outcomes, now_ms):
     # No readmission probes: probe connections of many nodes would keep it full.
+    outcomes.full(call)
     outcomes.record_failure(call, now_ms, eject_at_once=True)
 
 
