--- a/packages/auburnhollow/src/auburnhollow/admission/decision.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/decision.py
@@ -3,9 +3,8 @@
 from enum import StrEnum
 
 from ..records import Record
+from .room import TAIL
 
-# Slow calls take about twice the typical time, and a request ends with the slowest of its calls.
-TAIL = 2.0
 # However long the calls of a route take, this share of its objective may be spent waiting.
 LEAST_SLACK_SHARE = 0.25
 # Reports are some tens of milliseconds old and other nodes start requests too, so that a queue may
@@ -87,8 +86,10 @@
 
     def queue_ms(self, ask):
         """Return the expected wait for slots at as many services as must answer."""
-        waits_ms = sorted(self._room.queue_ms(self._servers(each)) for each in ask.services)
-        return waits_ms[ask.least - 1]
+        waits_ms = []
+        for service in ask.services:
+            waits_ms.append(self._room.queue_ms(self._servers(service), ask.work_ms))
+        return sorted(waits_ms)[ask.least - 1]
 
     def slack_ms(self, ask):
         """Return how long the request can still wait and be answered in its objective, or 0."""
--- a/packages/auburnhollow/src/auburnhollow/admission/room.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/room.py
@@ -4,10 +4,14 @@
 
 # Reports of other calls arrive about this often at a busy server; the queue hardly changes by then.
 FRESH_MS = 100.0
+MIN_SAMPLE_MS = 0.1
 # After this time without a report of a queue, nothing is known to be full.
 BUSY_MS = 1_000.0
-# Averages over about ten answers.
+# Averages over about ten answers of a server, and over fifty of a route.
 SMOOTHING = 0.1
+ROUTE_SMOOTHING = 0.02
+# Slow calls take about twice the typical time, and a request ends with the slowest of its calls.
+TAIL = 2.0
 
 
 class Report:
@@ -39,12 +43,14 @@
     23.5
     """
 
-    __slots__ = ("_busy_until_ms", "_clock", "_reports", "_service_ms", "_work_ms")
+    __slots__ = ("_busy_until_ms", "_clock", "_reports", "_route_ms", "_service_ms", "_slowness", "_work_ms")
 
     def __init__(self, clock):
         self._clock = clock
         self._reports = {}
+        self._route_ms = {}
         self._service_ms = {}
+        self._slowness = {}
         self._work_ms = {}
         self._busy_until_ms = -math.inf
 
@@ -64,8 +70,12 @@
             return
         incarnation = server.incarnation
         queue = max(0, load - server.slots)
-        self._service_ms[incarnation] = _smoothed(
-            self._service_ms.get(incarnation), work_ms / (1.0 + queue / server.slots)
+        sample_ms = max(MIN_SAMPLE_MS, work_ms) / (1.0 + queue / server.slots)
+        self._service_ms[incarnation] = _smoothed(self._service_ms.get(incarnation), sample_ms)
+        route_ms = _smoothed(self._route_ms.get(route_name), sample_ms, ROUTE_SMOOTHING)
+        self._route_ms[route_name] = route_ms
+        self._slowness[incarnation] = _smoothed(
+            self._slowness.get(incarnation), sample_ms / route_ms
         )
         if queue:
             self._reports[incarnation] = Report(queue, self._clock.now_ms())
@@ -88,11 +98,15 @@
             if report is not None:
                 report.queue += 1.0 / len(servers)
 
-    def queue_ms(self, servers):
-        """Return the shortest wait for a slot at any of the servers; infinity without servers."""
+    def queue_ms(self, servers, work_ms=0.0):
+        """Return the shortest wait for a slot at any of the servers; infinity without servers.
+
+        :param work_ms: how long a call takes without a wait; where no server has a free slot, the
+            time that a slow one takes beyond that counts too.
+        """
         least_ms = math.inf
         for server in servers:
-            least_ms = min(least_ms, self._server_queue_ms(server))
+            least_ms = min(least_ms, self._server_queue_ms(server, work_ms))
             if least_ms == 0.0:
                 break
         return least_ms
@@ -104,18 +118,21 @@
     def forget(self, servers):
         """Drop what is known of all servers except these."""
         kept = {server.incarnation for server in servers}
-        for known in (self._reports, self._service_ms):
+        for known in (self._reports, self._service_ms, self._slowness):
             for incarnation in [each for each in known if each not in kept]:
                 del known[incarnation]
 
-    def _server_queue_ms(self, server):
+    def _server_queue_ms(self, server, work_ms):
         report = self._reports.get(server.incarnation)
         service_ms = self._service_ms.get(server.incarnation)
         if report is None or service_ms is None:
             return 0.0
         age_ms = max(0.0, self._clock.now_ms() - report.heard_ms - FRESH_MS)
-        return max(0.0, report.queue / server.slots * service_ms - age_ms)
+        queue_ms = report.queue / server.slots * service_ms - age_ms
+        if queue_ms <= 0.0:
+            return 0.0
+        return queue_ms + TAIL * work_ms * max(0.0, self._slowness[server.incarnation] - 1.0)
 
 
-def _smoothed(known, sample):
-    return sample if known is None else known + SMOOTHING * (sample - known)
+def _smoothed(known, sample, smoothing=SMOOTHING):
+    return sample if known is None else known + smoothing * (sample - known)
--- a/packages/auburnhollow/src/auburnhollow/admission/tests/model.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/tests/model.py
@@ -13,6 +13,7 @@
 QUEUE = 24
 TICK_MS = 10.0
 ONE_WAY_MS = 2.0
+PATIENCE_MS = 1_000.0
 
 
 class Kind:
@@ -56,9 +57,13 @@
         super().__init__(clock)
         self.servers = servers
 
-    def queue_ms(self, servers):
+    def queue_ms(self, servers, work_ms=0.0):
         now_ms = self._clock.now_ms()
-        return min(self.servers[each.incarnation].wait_ms(now_ms) for each in servers)
+        found_ms = []
+        for each in (self.servers[server.incarnation] for server in servers):
+            extra_ms = 2.0 * work_ms * (each.slow - 1.0)
+            found_ms.append(each.wait_ms(now_ms) and each.wait_ms(now_ms) + extra_ms)
+        return min(found_ms)
 
 
 class Node:
@@ -162,6 +167,8 @@
         retry_ms = node.returns.retry_ms(ask.id, node.admission.queue_ms(ask))
         if self.random.random() < self.repeats:
             retry_ms = 5.0
+        if retry_ms > PATIENCE_MS:
+            return
         self.at(retry_ms, lambda: self._attempt(kind, ask.id, first_ms, attempts - 1))
 
     def _start(self, state):
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -475,11 +475,21 @@
                 self._dispatcher.reach.record_silence(call.server)
             if self._repeats.is_used_up(subrequest):
                 continue
+            if self._is_full(subrequest):
+                subrequest.hedge_ms = now_ms + HEDGE_RETRY_MS
+                continue
             if not self._repeats.may_repeat(subrequest) or not self._try_repeat(
                 subrequest, "hedge sent"
             ):
                 subrequest.hedge_ms = now_ms + HEDGE_RETRY_MS
 
+    def _is_full(self, subrequest):
+        """Return whether no server of the service has a free slot, so that a hedge would wait."""
+        room = self._dispatcher.room
+        if not room.is_busy:
+            return False
+        return room.queue_ms(self._dispatcher.registry.usable(subrequest.service)) > 0.0
+
     def _try_repeat(self, subrequest, text):
         """Send the subrequest again if the budget allows; return whether it was sent."""
         server = self._choose(subrequest)
