--- a/packages/auburnhollow/src/auburnhollow/admission/room.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/room.py
@@ -5,6 +5,8 @@
 # Reports of other calls arrive about this often at a busy server; the queue hardly changes by then.
 FRESH_MS = 100.0
 MIN_SAMPLE_MS = 0.1
+# With more nodes, what one of them starts says little of what the others do.
+MAX_WEIGHT = 8
 # After this time without a report of a queue, nothing is known to be full.
 BUSY_MS = 1_000.0
 # Averages over about ten answers of a server, and over fifty of a route.
@@ -15,10 +17,10 @@
 
 
 class Report:
-    """A server's last report of a queue.
+    """A server's last report of its load.
 
-    ``queue`` is the number of requests that wait, with those that this node has started since;
-    ``heard_ms`` is the time of the report.
+    ``queue`` is the number of requests that wait, negative for free slots, with those that have
+    started since; ``heard_ms`` is the time of the report.
     """
 
     __slots__ = ("heard_ms", "queue")
@@ -37,16 +39,27 @@
     knowledge.
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
+    :param count_nodes: function that returns the number of nodes that call servers.
 
     >>> room.hear(server, "listing", load=12, work_ms=80.0)
     >>> room.queue_ms([server])
     23.5
     """
 
-    __slots__ = ("_busy_until_ms", "_clock", "_reports", "_route_ms", "_service_ms", "_slowness", "_work_ms")
-
-    def __init__(self, clock):
+    __slots__ = (
+        "_busy_until_ms",
+        "_clock",
+        "_count_nodes",
+        "_reports",
+        "_route_ms",
+        "_service_ms",
+        "_slowness",
+        "_work_ms",
+    )
+
+    def __init__(self, clock, count_nodes=lambda: 1):
         self._clock = clock
+        self._count_nodes = count_nodes
         self._reports = {}
         self._route_ms = {}
         self._service_ms = {}
@@ -69,6 +82,7 @@
         if load is None:
             return
         incarnation = server.incarnation
+        now_ms = self._clock.now_ms()
         queue = max(0, load - server.slots)
         sample_ms = max(MIN_SAMPLE_MS, work_ms) / (1.0 + queue / server.slots)
         self._service_ms[incarnation] = _smoothed(self._service_ms.get(incarnation), sample_ms)
@@ -77,12 +91,11 @@
         self._slowness[incarnation] = _smoothed(
             self._slowness.get(incarnation), sample_ms / route_ms
         )
+        self._reports[incarnation] = Report(load - server.slots, now_ms)
         if queue:
-            self._reports[incarnation] = Report(queue, self._clock.now_ms())
-            self._busy_until_ms = self._clock.now_ms() + BUSY_MS
+            self._busy_until_ms = now_ms + BUSY_MS
             return
         self._work_ms[route_name] = _smoothed(self._work_ms.get(route_name), work_ms)
-        self._reports.pop(incarnation, None)
 
     def hear_full(self, server):
         """Record that a server has refused a request because its queue is full."""
@@ -92,11 +105,15 @@
         self._busy_until_ms = self._clock.now_ms() + BUSY_MS
 
     def started(self, servers):
-        """Record that this node starts a request on one of the servers of a service."""
+        """Record that this node starts a request on one of the servers of a service.
+
+        Other nodes get requests as this one does, and start them too.
+        """
+        weight = min(MAX_WEIGHT, max(1, self._count_nodes())) / max(1, len(servers))
         for server in servers:
             report = self._reports.get(server.incarnation)
             if report is not None:
-                report.queue += 1.0 / len(servers)
+                report.queue += weight
 
     def queue_ms(self, servers, work_ms=0.0):
         """Return the shortest wait for a slot at any of the servers; infinity without servers.
--- a/packages/auburnhollow/src/auburnhollow/admission/tests/model.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/tests/model.py
@@ -97,7 +97,11 @@
         servers = {s.record.incarnation: s for shard in self.shards for s in shard}
         self.nodes = []
         for each in range(NODES):
-            room = TrueRoom(self.clock, servers) if mode == "oracle" else Room(self.clock)
+            room = (
+                TrueRoom(self.clock, servers)
+                if mode == "oracle"
+                else Room(self.clock, lambda: NODES)
+            )
             self.nodes.append(Node(self.clock, seed + each, room, self.records.get))
         self.good, self.asked, self.history = {}, {}, []
         self.events, self.order = [], itertools.count()
@@ -121,7 +125,9 @@
         now_ms = self.clock.now_ms()
         if now_ms > until_ms:
             return
-        self.at(self.random.expovariate(self.per_s(now_ms) / 1000.0), lambda: self._arrive(until_ms))
+        self.at(
+            self.random.expovariate(self.per_s(now_ms) / 1000.0), lambda: self._arrive(until_ms)
+        )
         (kind,) = self.random.choices(self.kinds, [kind.share for kind in self.kinds])
         self.asked[kind.name] = self.asked.get(kind.name, 0) + 1
         self._attempt(kind, str(next(self.order)), now_ms, attempts=2)
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -86,7 +86,7 @@
         self.aggregators = aggregators
         self.client = client
         self.registry = registry
-        self.room = Room(clock)
+        self.room = Room(clock, count_nodes)
         self.choice = choice
         self.clock = clock
         self.metrics = metrics
