--- a/packages/auburnhollow/src/auburnhollow/admission/room.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/room.py
@@ -6,7 +6,7 @@
 FRESH_MS = 100.0
 MIN_SAMPLE_MS = 0.1
 # With more nodes, what one of them starts says little of what the others do.
-MAX_WEIGHT = 8
+MAX_WEIGHT = 4
 # After this time without a report of a queue, nothing is known to be full.
 BUSY_MS = 1_000.0
 # Averages over about ten answers of a server, and over fifty of a route.
--- a/packages/auburnhollow/src/auburnhollow/admission/tests/model.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/tests/model.py
@@ -103,11 +103,13 @@
                 else Room(self.clock, lambda: NODES)
             )
             self.nodes.append(Node(self.clock, seed + each, room, self.records.get))
-        self.good, self.asked, self.history = {}, {}, []
+        self.good, self.asked = {}, {}
+        self.history, self.arrivals_ms = [], []
         self.events, self.order = [], itertools.count()
         self.waiting = {}
 
     def at(self, delay_ms, call):
+        """Make a call after a time."""
         due_ms = self.clock.now_ms() + delay_ms
         heapq.heappush(self.events, (due_ms, next(self.order), call))
 
@@ -121,6 +123,10 @@
             call()
         return {name: self.good.get(name, 0) / asked for name, asked in self.asked.items()}
 
+    def count_asked(self, from_ms, until_ms):
+        """Return how many callers came in a time."""
+        return sum(1 for each in self.arrivals_ms if from_ms <= each < until_ms)
+
     def _arrive(self, until_ms):
         now_ms = self.clock.now_ms()
         if now_ms > until_ms:
@@ -129,6 +135,7 @@
             self.random.expovariate(self.per_s(now_ms) / 1000.0), lambda: self._arrive(until_ms)
         )
         (kind,) = self.random.choices(self.kinds, [kind.share for kind in self.kinds])
+        self.arrivals_ms.append(now_ms)
         self.asked[kind.name] = self.asked.get(kind.name, 0) + 1
         self._attempt(kind, str(next(self.order)), now_ms, attempts=2)
 
@@ -190,7 +197,7 @@
                 node.room.hear_full(server.record)
                 continue
 
-            def end(server=server, index=index):
+            def end(server=server, index=index, began_ms=began_ms):
                 load, server.load = server.load, server.load - 1
                 now_ms = self.clock.now_ms()
                 node.room.hear(server.record, kind.name, load, now_ms - began_ms)
