--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -6,15 +6,22 @@
 import random
 import resource
 
+from auburnhollow.accounts import urgency_of
+from auburnhollow.accounts.access import Access
+from auburnhollow.accounts.ledger import QuotaBounds
+from auburnhollow.accounts.quota import Quota
+from auburnhollow.accounts.quota_messages import QuotaAsk
+from auburnhollow.accounts.tight_gossip import TightGossip
 from auburnhollow.admission import Ask, Entry
 from auburnhollow.clock import Clock
 from auburnhollow.decisions import log_decision
 from auburnhollow.events import Recorder
-from auburnhollow.exceptions import NoRoute, NotReady, PeerError, QueryError, TooLarge
+from auburnhollow.exceptions import NoRoute, NotReady, PeerError, QueryError, Ran, TooLarge
 from auburnhollow.follow import ChangeServer, Follower, SharedFeed, StateExchange
 from auburnhollow.follow.messages import ChangesAsk, StateAsk
 from auburnhollow.follow.revision_gossip import RevisionGossip
 from auburnhollow.follow.sharing import MAX_DIRECT_NODES
+from auburnhollow.gate import ColdServers, EvacuationGossip, Evacuations, Gate, Homes
 from auburnhollow.hashing import first_ranked
 from auburnhollow.limits import ServerRates
 from auburnhollow.limits.rate_gossip import RateGossip
@@ -72,6 +79,7 @@
     """
 
     __slots__ = (
+        "_access",
         "_delegation",
         "_delegation_server",
         "_evidence_saver",
@@ -88,11 +96,13 @@
         "events",
         "fleet",
         "follower",
+        "gate",
         "is_stopping",
         "metrics",
         "peer_server",
         "peers",
         "quarantine",
+        "quota",
         "rates",
         "registry",
         "settings",
@@ -115,8 +125,14 @@
         self._rate_shares = RateShares(self.fleet.membership, aggregators, self.registry)
         self.rates = ServerRates(self.clock, self._random, self._rate_shares.fraction)
         RateGossip(self.rates, self.fleet.gossiper, self.fleet.table, self.clock)
+        cold = ColdServers(self.clock, self._random, self._rate_shares.fraction)
+        self.registry.on_server = cold.hear
+        homes = Homes(settings.regions)
+        homes.routes = lambda: self.routes
+        self.gate = Gate(client, self.registry, self.metrics, homes, Evacuations(self.clock), cold)
+        EvacuationGossip(self.gate.evacuations, self.fleet.gossiper, self.fleet.table)
         self.dispatcher = Dispatcher(
-            client,
+            self.gate,
             self.registry,
             ServerChoice(
                 settings.data_centre,
@@ -125,6 +141,7 @@
                 self._random,
                 self._count_calling_nodes,
                 self.rates,
+                sources=(cold,),
             ),
             self.clock,
             self._random,
@@ -138,14 +155,17 @@
             self.clock,
             self._random,
             self.dispatcher.room,
-            self.registry.usable,
+            self.gate.servers,
             self.metrics,
         )
         self._wire_reach()
-        self._subqueries = SubqueryServer(self.dispatcher, self._is_open)
+        self._wire_quota()
+        self._access = Access(settings.revoke_ms if settings.strict_revoke else None)
+        self._subqueries = SubqueryServer(self.dispatcher, self._is_open, self._check_subquery)
         self.peer_server.on_stream(SubqueryAsk, self._subqueries.answer)
         self.peer_server.on(SubqueryRepeats, self._subqueries.allow_repeats)
         shared = SharedFeed(feed, self.peers, self.fleet.membership, self.clock, self._random)
+        shared.has_evacuations = lambda: bool(self.gate.evacuations)
         self.follower = Follower(
             shared,
             self.registry,
@@ -153,8 +173,12 @@
             self._random,
             self._apply_routes,
             self.metrics,
+            self.gate.evacuations,
         )
         self.follower.on_evidence = self.quarantine.restore
+        if settings.strict_revoke:
+            # The state must be confirmed well before it counts as too old for keyed requests.
+            self.follower.watch_ms = min(self.follower.watch_ms, settings.revoke_ms / 2)
         self._evidence_saver = None
         if evidence_store is not None:
             self._evidence_saver = EvidenceSaver(
@@ -251,7 +275,9 @@
             if self.routes is None:
                 await self._wait_for_first_read(request)
             route = self._route(request)
-            answer = await self._dispatch(request, route)
+            self._access.admit(request, route, self.routes, self.follower.age_ms)
+            await self.quota.admit(request.account)
+            answer = await self._dispatch_admitted(request, route)
         except QueryError as error:
             self._log_error(request, route, error)
             raise
@@ -281,12 +307,16 @@
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
             "admission.waiting": self.entry.waiting,
             "relay.servers_limited": len(self.rates),
+            "gate.cold_servers": len(self.gate.cold),
+            "gate.evacuated": len(self.gate.evacuations),
             "relay.repeats_left": self.dispatcher.least_budget_left(),
             "node.memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         }
 
     def _apply_routes(self, table):
+        self.quota.set_accounts(table.accounts)
         self._rate_shares.set_routes(table)
+        self.gate.cold.set_services(table.services)
         self.dispatcher.forget(table)
 
     def _dispatch_settings(self):
@@ -312,6 +342,7 @@
             status=getattr(answer, "status", None),
             missing=getattr(answer, "missing", None),
             age_ms=round(age_ms),
+            account=request.account,
         )
 
     def _wire_fleet(self):
@@ -334,6 +365,25 @@
         )
         QuarantineGossip(self.quarantine, self.fleet.gossiper, self.fleet.table, self.clock)
 
+    def _wire_quota(self):
+        settings = self.settings
+        bounds = QuotaBounds(
+            window_ms=settings.quota_window_ms,
+            excess=settings.quota_excess,
+            slack=settings.quota_slack,
+        )
+        self.quota = Quota(
+            bounds,
+            self.peers,
+            self.fleet.membership,
+            self.clock,
+            self.metrics,
+            known_nodes=1 + len(self._seeds()),
+        )
+        self.peer_server.on(QuotaAsk, self.quota.answer)
+        fleet = self.fleet
+        TightGossip(self.quota, settings.id, fleet.gossiper, fleet.table, self.clock)
+
     def _wire_reach(self):
         fleet = self.fleet
         dispatcher = self.dispatcher
@@ -406,9 +456,19 @@
             raise NoRoute(f"no route for {request.host} in version {table.version}")
         return route
 
+    async def _dispatch_admitted(self, request, route):
+        """Answer a request that has a token of its account, given back if no server has run it."""
+        try:
+            return await self._dispatch(request, route)
+        except QueryError as error:
+            if error.ran is Ran.NO:
+                self.quota.give_back(request.account)
+            raise
+
     async def _dispatch(self, request, route):
         limit_ms = request.received_ms + route.time_limit_ms
         request.limit_ms = min(limit_ms, request.limit_ms - ANSWER_MS)
+        self.gate.homes.enter(request, route)
         return await self._delegation.dispatch(request, route, self._dispatch_here)
 
     async def _dispatch_here(self, request, route, is_repeat=False):
@@ -431,7 +491,8 @@
             id=request.id,
             route=route.name,
             account=request.account,
-            urgency=self._urgency(request, route),
+            homes=request.homes,
+            urgency=urgency_of(request.account, route, self.routes),
             services=services,
             least=min_shards(route) if route.shards else 1,
             work_ms=room.work_ms(route.name, self.dispatcher.times(route).work_ms),
@@ -440,20 +501,21 @@
         )
         await self.entry.let_in(ask)
 
-    def _urgency(self, request, route):
-        """Return the urgency of the request's client account, or else that of its route."""
-        account = self.routes.accounts.get(request.account)
-        if account is None or account.urgency is None:
-            return route.urgency
-        return account.urgency
-
     async def _handle_delegated(self, request, is_repeat, attempts):
         """Answer a request that another node has received."""
         route = self._route(request)
+        self._access.check_helped(request.account, route, self.routes)
+        self.gate.homes.enter(request, route)
         route = Route(**{**route.to_map(), "attempts": min(attempts, route.attempts)})
         request.limit_ms = min(request.received_ms + route.time_limit_ms, request.limit_ms)
         return await self._dispatch_here(request, route, is_repeat)
 
+    def _check_subquery(self, request):
+        """Refuse a subquery in the name of a client account that this node does not know."""
+        table = self.routes
+        if table is not None and request.account is not None:
+            self._access.check_helped(request.account, None, table)
+
     def _count_outcome(self, route, outcome):
         """Count a request by route, urgency and outcome."""
         name = "" if route is None else route.name
@@ -471,6 +533,7 @@
             route=getattr(route, "name", None),
             code=error.code,
             ran=error.ran,
+            account=request.account,
             detail=error.detail,
             retry_after_ms=error.retry_after_ms,
             age_ms=round(self.clock.now_ms() - request.received_ms),
--- a/packages/auburnhollow/src/auburnhollow/admission/decision.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/decision.py
@@ -29,7 +29,7 @@
 
     ``services`` are the services that it is sent to, ``least`` how many of them must answer.
     ``urgency`` is 0 for the most urgent requests. ``work_ms`` is how long its calls take without
-    a wait. ``received_ms`` is the time of its arrival, ``objective_ms`` the target for the answer,
+    a wait. ``homes`` are the regions whose servers may get it, ``None`` for any. ``received_ms`` is the time of its arrival, ``objective_ms`` the target for the answer,
     counted from then. ``is_returning`` tells whether it was refused before and has come back when
     it was told to.
     """
@@ -38,6 +38,7 @@
         "id",
         "route",
         "account",
+        "homes",
         "urgency",
         "services",
         "least",
@@ -46,7 +47,7 @@
         "objective_ms",
         "is_returning",
     )
-    DEFAULTS = {"account": None, "is_returning": False}
+    DEFAULTS = {"account": None, "homes": None, "is_returning": False}
 
     @property
     def cost(self):
@@ -64,7 +65,7 @@
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param room: :class:`~auburnhollow.admission.Room`.
-    :param servers: function of a service that returns the servers that may get requests.
+    :param servers: function of a service and of homes that returns the servers that may get requests.
     """
 
     __slots__ = ("_clock", "_room", "_seen", "_servers")
@@ -88,7 +89,7 @@
         """Return the expected wait for slots at as many services as must answer."""
         waits_ms = []
         for service in ask.services:
-            waits_ms.append(self._room.queue_ms(self._servers(service), ask.work_ms))
+            waits_ms.append(self._room.queue_ms(self._servers(service, ask.homes), ask.work_ms))
         return sorted(waits_ms)[ask.least - 1]
 
     def slack_ms(self, ask):
@@ -99,7 +100,7 @@
     def started(self, ask):
         """Record that a request starts."""
         for service in ask.services:
-            self._room.started(self._servers(service))
+            self._room.started(self._servers(service, ask.homes))
 
     def arrived(self, ask):
         """Record that a request has arrived, for which less urgent ones leave room."""
--- a/packages/auburnhollow/src/auburnhollow/admission/tests/test_entry.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/tests/test_entry.py
@@ -17,7 +17,7 @@
 WORK_MS = 20.0
 
 
-def servers(_service):
+def servers(_service, _homes):
     """Return the only server."""
     return [SERVER]
 
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -7,9 +7,12 @@
 from ..clock import MS_PER_SECOND
 from ..decisions import log_decision
 from ..exceptions import StoreUnavailable
+from ..gate.evacuations import Evacuations
 from ..metrics import Metrics
 from .feed import (
     ConfigurationUpdate,
+    EvacuationEnd,
+    EvacuationUpdate,
     EvidenceUpdate,
     HistoryLost,
     ServerRemoval,
@@ -59,6 +62,16 @@
         follower.on_evidence(update.fingerprint, update.entries)
 
 
+@apply_update.register
+def _(update: EvacuationUpdate, follower):
+    follower.evacuations.apply(update.data_centre, update.revision, True, follower.source)
+
+
+@apply_update.register
+def _(update: EvacuationEnd, follower):
+    follower.evacuations.apply(update.data_centre, update.revision, False, follower.source)
+
+
 @apply_update.register
 def _(update: UnreadableEntry, follower):
     log_decision(log, "entry not readable", level=logging.WARNING, **update.to_map())
@@ -77,13 +90,15 @@
     :param on_routes: callback that receives each newer
         :class:`~auburnhollow.routes.RouteTable`.
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
+    :param evacuations: :class:`~auburnhollow.gate.Evacuations`.
 
     ``change_log`` is the :class:`ChangeLog` served to other nodes. ``first_read_done`` is an event
     set once the first read has succeeded or failed. ``ask_peers`` is a coroutine function called
     after each failed call to the store, to fetch state from other nodes. ``on_revision`` is a
     callback that receives each newer store revision; it lets other nodes call
     :meth:`on_peer_revision`. ``on_evidence`` is a callback that receives the fingerprint and
-    the entries of each :class:`EvidenceUpdate`.
+    the entries of each :class:`EvidenceUpdate`. ``watch_ms`` is the longest time between two
+    confirmations of the local state while the store answers.
 
     >>> follower = Follower(feed, registry, clock, random)
     >>> task = asyncio.create_task(follower.run())
@@ -102,14 +117,25 @@
         "_watch_task",
         "ask_peers",
         "change_log",
+        "evacuations",
         "first_read_done",
         "on_evidence",
         "on_revision",
         "on_routes",
         "registry",
+        "watch_ms",
     )
 
-    def __init__(self, feed, registry, clock, random, on_routes=None, metrics=None):
+    def __init__(
+        self,
+        feed,
+        registry,
+        clock,
+        random,
+        on_routes=None,
+        metrics=None,
+        evacuations=None,
+    ):
         self._feed = feed
         self._clock = clock
         self._random = random
@@ -121,12 +147,14 @@
         self._confirmed_ms = None
         self._watch_task = None
         self.registry = registry
+        self.evacuations = Evacuations(clock) if evacuations is None else evacuations
         self.change_log = ChangeLog()
         self.ask_peers = None
         self.first_read_done = asyncio.Event()
         self.on_routes = on_routes
         self.on_revision = None
         self.on_evidence = None
+        self.watch_ms = WATCH_TIMEOUT_MS
 
     @property
     def routes(self):
@@ -143,6 +171,11 @@
         """Whether the last answer came from the store itself rather than from another node."""
         return getattr(self._feed, "is_direct", True)
 
+    @property
+    def source(self):
+        """Where updates come from: the store, or another node."""
+        return "store" if self.is_direct else "peer"
+
     @property
     def age_ms(self):
         """Milliseconds since the store last confirmed the local state; ``None`` if it never did."""
@@ -234,7 +267,7 @@
     async def _watch(self):
         """Return the next changes, or ``None`` when the watch was cancelled as unresponsive."""
         self._is_watch_stale = False
-        watch = self._feed.changes(self._revision, WATCH_TIMEOUT_MS)
+        watch = self._feed.changes(self._revision, self.watch_ms)
         self._watch_task = asyncio.get_running_loop().create_task(watch)
         try:
             return await self._watch_task
@@ -262,12 +295,18 @@
 
     def _apply_snapshot(self, view):
         servers = []
+        evacuated = {}
         for update in view.updates:
             if isinstance(update, ServerUpdate):
                 servers.append(update.server)
                 continue
+            if isinstance(update, EvacuationUpdate):
+                evacuated[update.data_centre] = update.revision
+                continue
             apply_update(update, self)
         self.registry.replace(servers)
+        if view.has_evacuations:
+            self.evacuations.replace(evacuated, view.revision, self.source)
         log_decision(log, "store read", revision=view.revision, servers=len(servers))
 
     def _on_store_reached(self):
