--- a/packages/auburnhollow/src/auburnhollow/admission/decision.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/decision.py
@@ -9,7 +9,7 @@
 LEAST_SLACK_SHARE = 0.25
 # Reports are some tens of milliseconds old and other nodes start requests too, so that a queue may
 # be longer than known.
-USED_SHARE = 0.4
+USED_SHARE = 0.3
 # Requests leave this share of the queue that more urgent ones may join to these.
 YIELD_SHARE = 0.5
 # More urgent requests count while they come at least this often.
