--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -6,11 +6,13 @@
 import random
 import resource
 
+from auburnhollow.accounts import urgency_of
 from auburnhollow.accounts.access import Access
 from auburnhollow.accounts.ledger import QuotaBounds
 from auburnhollow.accounts.quota import Quota
 from auburnhollow.accounts.quota_messages import QuotaAsk
 from auburnhollow.accounts.tight_gossip import TightGossip
+from auburnhollow.admission import Ask, Entry
 from auburnhollow.clock import Clock
 from auburnhollow.decisions import log_decision
 from auburnhollow.events import Recorder
@@ -35,6 +37,7 @@
 from auburnhollow.relay.choice import ServerChoice
 from auburnhollow.relay.delegation import Delegation, DelegationServer
 from auburnhollow.relay.delegation_messages import DelegatedRequest
+from auburnhollow.relay.dispatcher import min_shards
 from auburnhollow.relay.fanout import ANSWER_MS
 from auburnhollow.relay.rate_shares import RateShares
 from auburnhollow.relay.subquery_messages import SubqueryAsk, SubqueryRepeats
@@ -91,6 +94,7 @@
         "clock",
         "count_connections",
         "dispatcher",
+        "entry",
         "events",
         "fleet",
         "follower",
@@ -149,6 +153,13 @@
             self._count_nodes,
             aggregators,
         )
+        self.entry = Entry(
+            self.clock,
+            self._random,
+            self.dispatcher.room,
+            self.gate.servers,
+            self.metrics,
+        )
         self._wire_reach()
         self._wire_quota()
         self._access = Access(settings.revoke_ms if settings.strict_revoke else None)
@@ -298,6 +309,7 @@
             "node.cut_off": int(self.dispatcher.reach.is_cut_off),
             "node.loop_lag_ms": round(self._lag.worst_ms, 1),
             "node.lag_reserve_ms": round(self.dispatcher.lag.reserve_ms(math.inf), 1),
+            "admission.waiting": self.entry.waiting,
             "relay.servers_limited": len(self.rates),
             "gate.cold_servers": len(self.gate.cold),
             "gate.evacuated": len(self.gate.evacuations),
@@ -319,6 +331,7 @@
             retry_window_ms=settings.retry_window_ms,
             retry_slack=settings.retry_slack,
             short_objectives=settings.short_objectives,
+            admission=settings.admission,
         )
 
     def _record_answer(self, request, route, answer):
@@ -490,10 +503,34 @@
 
     async def _dispatch_here(self, request, route, is_repeat=False):
         if route.shards:
+            await self._let_in(request, route, route.shards, is_repeat)
             return await self.dispatcher.gather(request, route, is_repeat)
         service = self.routes.branch(route, self._random)
+        await self._let_in(request, route, (service,), is_repeat)
         return await self.dispatcher.forward(request, route, service, is_repeat)
 
+    async def _let_in(self, request, route, services, is_repeat):
+        """Wait until the servers have room for a request; one that may have run is not refused.
+
+        :raises Overloaded: if they will not have any in time.
+        """
+        room = self.dispatcher.room
+        if is_repeat or not self.dispatcher.is_short_of_room:
+            return
+        ask = Ask(
+            id=request.id,
+            route=route.name,
+            account=request.account,
+            homes=request.homes,
+            urgency=urgency_of(request.account, route, self.routes),
+            services=services,
+            least=min_shards(route) if route.shards else 1,
+            work_ms=room.work_ms(route.name, self.dispatcher.times(route).work_ms),
+            received_ms=request.received_ms,
+            objective_ms=route.objective_ms - ANSWER_MS,
+        )
+        await self.entry.let_in(ask)
+
     async def _handle_delegated(self, request, is_repeat, attempts):
         """Answer a request that another node has received."""
         route = self._route(request)
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -2,6 +2,7 @@
 
 from contextlib import contextmanager
 
+from ..admission import Room
 from ..exceptions import Ran, Unavailable
 from ..placement import LagReserve
 from ..quarantine import EndChecks
@@ -24,11 +25,18 @@
 
     ``retry_ratio`` is the number of repeats allowed per request of a service within
     ``retry_window_ms``; ``retry_slack`` is how many all nodes together may send beyond that.
-    ``short_objectives`` is set if objectives are short beside the ways to servers and callers.
+    ``short_objectives`` is set if objectives are short beside the ways to servers and callers,
+    ``admission`` if requests wait or are refused while servers have no room.
     """
 
-    __slots__ = ("retry_ratio", "retry_window_ms", "retry_slack", "short_objectives")
-    DEFAULTS = {"short_objectives": False}
+    __slots__ = (
+        "retry_ratio",
+        "retry_window_ms",
+        "retry_slack",
+        "short_objectives",
+        "admission",
+    )
+    DEFAULTS = {"short_objectives": False, "admission": False}
 
 
 class Dispatcher:
@@ -70,6 +78,7 @@
         "reach",
         "readmission",
         "registry",
+        "room",
     )
 
     def __init__(
@@ -88,6 +97,7 @@
         self.aggregators = aggregators
         self.gate = gate
         self.registry = registry
+        self.room = Room(clock, count_nodes)
         self.choice = choice
         self.clock = clock
         self.metrics = metrics
@@ -167,6 +177,11 @@
         """
         return self._settings.short_objectives or self.choice.has_slowness
 
+    @property
+    def is_short_of_room(self):
+        """Whether requests are admitted by room, and servers have reported queues just now."""
+        return self._settings.admission and self.room.is_busy
+
     def budget(self, service):
         """Return the :class:`WindowBudget` for repeats to a service."""
         budget = self._budgets.get(service)
@@ -222,6 +237,7 @@
         self._times = {name: times for name, times in self._times.items() if name in names}
         self.choice.set_connection_limits(table.services)
         self.choice.forget(self.registry.servers)
+        self.room.forget(self.registry.servers)
 
     async def _can_connect(self, server):
         return await self.gate.can_connect(server)
--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -100,7 +100,7 @@
         self._times = dispatcher.times(route)
         self._quarantine = dispatcher.quarantine
         self._fingerprint = request.fingerprint
-        self._outcomes = OutcomeRecorder(dispatcher, request, self._times, self._fingerprint)
+        self._outcomes = OutcomeRecorder(dispatcher, request, route, self._fingerprint)
         self._repeats = Repeats(dispatcher, request, route, self._fingerprint)
         self._subqueries = Subqueries(self, dispatcher, aggregators, request, route, self._repeats)
         self._subrequests = [Subrequest(service) for service in services]
@@ -516,6 +516,9 @@
             is_early = next_ms is not None
             if is_early and not self._may_hedge_early(subrequest):
                 continue
+            if self._is_full(subrequest):
+                subrequest.hedge_ms = now_ms + HEDGE_RETRY_MS
+                continue
             text = "early hedge sent" if is_early else "hedge sent"
             if not self._repeats.may_repeat(subrequest) or not self._try_repeat(subrequest, text):
                 subrequest.hedge_ms = now_ms + HEDGE_RETRY_MS
@@ -527,6 +530,12 @@
         has_room = self._dispatcher.budget(subrequest.service).left > EARLY_HEDGE_ROOM
         return has_room and len(subrequest.calls) == 1
 
+    def _is_full(self, subrequest):
+        """Return whether no server of the service has a free slot, so that a hedge would wait."""
+        if not self._dispatcher.is_short_of_room:
+            return False
+        return self._dispatcher.room.queue_ms(self._servers(subrequest)) > 0.0
+
     def _try_repeat(self, subrequest, text):
         """Send the subrequest again if the budget allows; return whether it was sent."""
         server = self._choose(subrequest)
