Give a request's hedges a module of their own

Change: relay/hedges.py decides when a part goes to a second server; FanOut sends it. Nothing behaves otherwise. Ruled out: moving them to placement/, which takes numbers and knows no calls. Measured: tests of relay, placement, pace and gate pass.

--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -13,21 +13,16 @@
     QueryError,
     Ran,
 )
-from ..placement import hedge_at_ms
 from . import call_log, failures
+from .hedges import ANSWER_MS, Hedges
 from .outcomes import OutcomeRecorder
 from .repeats import MIN_CALL_MS, Repeats
 from .subqueries import Subqueries
 from .subrequests import Call, Subrequest, choose_trial
 
-# Time reserved for the answer to reach the caller.
-ANSWER_MS = 15.0
 # Calls that lost to a faster one keep running this long, to measure their servers; short enough to
 # end before the caller's deadline.
 LINGER_MS = 350.0
-HEDGE_RETRY_MS = 30.0
-# An early hedge leaves the budget room for this many repeats of calls that fail or are late.
-EARLY_HEDGE_ROOM = 3
 # Callers that are refused because servers have named rates come back after this time or later.
 UNAVAILABLE_RETRY_MS = 250.0
 MAX_RETRY_MS = 5_000.0
@@ -59,6 +54,7 @@
         "_clock",
         "_dispatcher",
         "_fingerprint",
+        "_hedges",
         "_is_complete",
         "_is_repeat",
         "_min_answers",
@@ -103,6 +99,7 @@
         self._outcomes = OutcomeRecorder(dispatcher, request, route, self._fingerprint)
         self._repeats = Repeats(dispatcher, request, route, self._fingerprint)
         self._subqueries = Subqueries(self, dispatcher, aggregators, request, route, self._repeats)
+        self._hedges = Hedges(self, dispatcher, request, route, self._repeats)
         self._subrequests = [Subrequest(service) for service in services]
         self._min_answers = min_answers
         self._answer_count = 0
@@ -161,7 +158,7 @@
             await self._run_trial()
         self._send_all()
         while not self._is_answered():
-            self._send_hedges()
+            self._hedges.send_due(self._subrequests)
             await self._wait()
         self._is_complete = True
 
@@ -188,7 +185,7 @@
 
     def _reject_unanswerable(self):
         """Reject the request at once if too few services have servers."""
-        possible = sum(1 for subrequest in self._subrequests if self._servers(subrequest))
+        possible = sum(1 for subrequest in self._subrequests if self.servers(subrequest))
         if possible < self._min_answers:
             raise self._dispatcher.unavailable(
                 f"{possible} of {len(self._subrequests)} services have servers,"
@@ -288,7 +285,7 @@
         )
 
     def _least_wait_ms(self, subrequest):
-        servers = self._servers(subrequest)
+        servers = self.servers(subrequest)
         return min((self._choice.wait_ms(server) for server in servers), default=math.inf)
 
     def send_first(self, subrequest, server=None):
@@ -307,11 +304,11 @@
         :param until_ms: when an answer must be expected from a server that this node must wait
             for, as it has named a rate; by default the route's objective.
         """
-        servers = self._servers(subrequest)
+        servers = self.servers(subrequest)
         until_ms = self._wait_until_ms if until_ms is None else until_ms
         return self._choice.choose(servers, self._times.work_ms, subrequest.tried, until_ms)
 
-    def _servers(self, subrequest):
+    def servers(self, subrequest):
         """Return the servers that may get the subrequest now."""
         return self._dispatcher.gate.servers_for(self._request, subrequest.service)
 
@@ -330,7 +327,7 @@
         subrequest.tried.append(server.id)
         late_ms = now_ms + self._times.late_after_ms(self._choice.round_trip_ms(server), slowdown)
         call = Call(subrequest, server, slowdown, now_ms, late_ms)
-        subrequest.hedge_ms = self._hedge_at_ms(call)
+        subrequest.hedge_ms = self._hedges.due_ms(call)
         subrequest.calls.append(call)
         subrequest.all_calls.append(call)
         call.keep_alive = view.began(call, now_ms)
@@ -463,7 +460,7 @@
         ):
             self._accept_error_response(subrequest)
             return
-        if self._try_repeat(subrequest, "retry sent"):
+        if self.try_repeat(subrequest, "retry sent"):
             return
         self._accept_error_response(subrequest)
 
@@ -475,68 +472,7 @@
             subrequest.answer = subrequest.error
             self._answer_count += 1
 
-    def _hedge_at_ms(self, call):
-        """Return when to send a hedge for a call that has just been sent."""
-        subrequest = call.subrequest
-        if not (self._dispatcher.hurries and self._route.shards):
-            return call.late_ms
-        if self._repeats.is_used_up(subrequest):
-            return call.late_ms
-        nearest_ms = math.inf
-        for server in self._servers(subrequest):
-            if server.id not in subrequest.tried:
-                nearest_ms = min(nearest_ms, self._choice.round_trip_ms(server))
-        if nearest_ms == math.inf:
-            return call.late_ms
-        round_trips_ms = (self._choice.round_trip_ms(call.server), nearest_ms)
-        return hedge_at_ms(
-            call.began_ms, call.late_ms, self._wait_until_ms, round_trips_ms, self._times.work_ms
-        )
-
-    def _mark_late(self, subrequest, now_ms):
-        """Mark the servers of late calls; return when the next call is late, or ``None``."""
-        next_ms = None
-        for call in subrequest.calls:
-            if now_ms < call.late_ms:
-                next_ms = call.late_ms if next_ms is None else min(next_ms, call.late_ms)
-                continue
-            self._choice.view(call.server).mark_late(call.began_ms)
-            self._dispatcher.reach.record_silence(call.server)
-        return next_ms
-
-    def _send_hedges(self):
-        """Send hedges to other servers for calls that are late, or too late to wait for that."""
-        now_ms = self._clock.now_ms()
-        for subrequest in self._subrequests:
-            if subrequest.is_over or subrequest.hedge_ms is None or now_ms < subrequest.hedge_ms:
-                continue
-            subrequest.hedge_ms = next_ms = self._mark_late(subrequest, now_ms)
-            if self._repeats.is_used_up(subrequest):
-                continue
-            is_early = next_ms is not None
-            if is_early and not self._may_hedge_early(subrequest):
-                continue
-            if self._is_full(subrequest):
-                subrequest.hedge_ms = now_ms + HEDGE_RETRY_MS
-                continue
-            text = "early hedge sent" if is_early else "hedge sent"
-            if not self._repeats.may_repeat(subrequest) or not self._try_repeat(subrequest, text):
-                subrequest.hedge_ms = now_ms + HEDGE_RETRY_MS
-            if is_early:
-                subrequest.hedge_ms = min(next_ms, subrequest.hedge_ms)
-
-    def _may_hedge_early(self, subrequest):
-        """Return whether to send a hedge for a single call that is not late yet."""
-        has_room = self._dispatcher.budget(subrequest.service).left > EARLY_HEDGE_ROOM
-        return has_room and len(subrequest.calls) == 1
-
-    def _is_full(self, subrequest):
-        """Return whether no server of the service has a free slot, so that a hedge would wait."""
-        if not self._dispatcher.is_short_of_room:
-            return False
-        return self._dispatcher.room.queue_ms(self._servers(subrequest)) > 0.0
-
-    def _try_repeat(self, subrequest, text):
+    def try_repeat(self, subrequest, text):
         """Send the subrequest again if the budget allows; return whether it was sent."""
         server = self._choose(subrequest)
         if server is None or not self._repeats.try_spend(subrequest):
