--- a/packages/auburnhollow/src/auburnhollow/accounts/tests/test_quota.py
+++ b/packages/auburnhollow/src/auburnhollow/accounts/tests/test_quota.py
@@ -11,6 +11,7 @@
 from auburnhollow.accounts.quota import Quota
 from auburnhollow.accounts.quota_messages import QuotaAsk
 from auburnhollow.exceptions import PeerError, QuotaSpent
+from auburnhollow.hashing import ranked
 from auburnhollow.metrics import Metrics
 from auburnhollow.peers import Peers
 from auburnhollow_standins.virtual import VirtualClock, run_virtually
@@ -292,3 +293,54 @@
         for shares in ((0.5, 0.5), (0.83, 0.17), (1 / 58,) * 58):
             granted = sum(BOUNDS.factor(rate_per_s, burst, share) for share in shares) * window
             assert granted <= window * 1.1 + 20
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_limit_that_falls_refuses_nobody_whom_one_bucket_for_all_nodes_would_admit(seed):
+    async def play():
+        fleet = Fleet(58, make_accounts())
+        rates = usual_rates(fleet.accounts.values())
+        source = random.Random(seed)
+        await fleet.clock.sleep(10_000)
+        await fleet.send(rates, 6_000, source)
+        lowered = fleet.accounts["a-0"]
+        values = {**lowered.to_map(), "rate_per_s": rates["a-0"] * 0.8, "burst": 4.0}
+        fleet.accounts["a-0"] = Account(**values)
+        for quota in fleet.quotas.values():
+            quota.set_accounts(dict(fleet.accounts))
+        fleet.sent_admitted.clear()
+        fleet.refused.clear()
+        await fleet.send(rates, 12_000, source)
+        return fleet
+
+    fleet = run_virtually(play())
+    assert "a-0" in {name for _when, name, _retry in fleet.refused}
+    assert fleet.refused_below_limit() == []
+
+
+def test_an_owner_keeps_its_buckets_when_another_node_leaves():
+    accounts = [
+        Account(name=f"a-{number}", key_digests=(), rate_per_s=2.0, burst=10.0)
+        for number in range(71)
+    ]
+
+    async def play():
+        fleet = Fleet(58, accounts)
+        await fleet.clock.sleep(10_000)
+        for account in accounts:
+            await fleet.request(fleet.names[1], account.name)
+        await fleet.clock.sleep(10_000)
+        kept = [each.name for each in accounts if ranked(each.name, fleet.names)[0] != "n-0"]
+        fleet.names.remove("n-0")
+        for name in fleet.names:
+            fleet.views[name] = tuple(fleet.names)
+            fleet.quotas[name].set_accounts(fleet.accounts)
+        for name in kept:
+            await asyncio.gather(*[fleet.request(node, name) for node in fleet.names[:5]])
+        await fleet.clock.sleep(200)
+        for name in kept:
+            await asyncio.gather(*[fleet.request(node, name) for node in fleet.names[:4]])
+        return fleet
+
+    fleet = run_virtually(play())
+    assert fleet.refused == []
