Spare requests without homes and nodes without admission the new parts' work

Change: homes are looked up only if a route or account has any; answers teach the room only where admission is on. Ruled out: dropping the gate's second check, which is what holds a fact that changes while a connection opens.

--- a/packages/auburnhollow/src/auburnhollow/gate/homes.py
+++ b/packages/auburnhollow/src/auburnhollow/gate/homes.py
@@ -46,7 +46,9 @@
     def now(self, request):
         """Return the homes of a request: those it entered with, and those in force now."""
         table = self.routes()
-        route = None if table is None else table.find(request.host, request.path)
+        if table is None or not table.has_homes:
+            return request.homes
+        route = table.find(request.host, request.path)
         in_force = self._of(route, request.account)
         # Most requests have no homes, and the others the same ones as they entered with.
         return request.homes if in_force is None else common_homes(request.homes, in_force)
--- a/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/dispatcher.py
@@ -177,10 +177,15 @@
         """
         return self._settings.short_objectives or self.choice.has_slowness
 
+    @property
+    def has_admission(self):
+        """Whether the settings ask for admission by room."""
+        return self._settings.admission
+
     @property
     def is_short_of_room(self):
         """Whether requests are admitted by room, and servers have reported queues just now."""
-        return self._settings.admission and self.room.is_busy
+        return self.has_admission and self.room.is_busy
 
     def budget(self, service):
         """Return the :class:`WindowBudget` for repeats to a service."""
--- a/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/outcomes.py
@@ -54,7 +54,7 @@
         self._readmission = dispatcher.readmission
         self._registry = dispatcher.registry
         self._request = request
-        self._room = dispatcher.room
+        self._room = dispatcher.room if dispatcher.has_admission else None
         self._route = route
         self._times = dispatcher.times(route)
         self._fingerprint = fingerprint
@@ -82,7 +82,8 @@
         pace = self._choice.pace
         if pace is not None:
             pace.answered(call.server, call.began_ms, ratio, answer.load)
-        self._room.hear(call.server, self._route.name, answer.load, work_ms)
+        if self._room is not None:
+            self._room.hear(call.server, self._route.name, answer.load, work_ms)
 
     def failed(self, call, error):
         """Record a :class:`~auburnhollow.exceptions.BackendError`."""
@@ -111,12 +112,14 @@
 
     def full(self, call):
         """Record that the server accepted no more connections."""
-        self._room.hear_full(call.server)
+        if self._room is not None:
+            self._room.hear_full(call.server)
 
     def refused(self, call, now_ms):
         """Record that the server refused a call because it is full."""
         self.view(call).shed(call, call.server.slots, now_ms)
-        self._room.hear_full(call.server)
+        if self._room is not None:
+            self._room.hear_full(call.server)
 
     def unreachable(self, call):
         """Avoid a server that accepted no connection until it accepts one."""
--- a/packages/auburnhollow/src/auburnhollow/routes/table.py
+++ b/packages/auburnhollow/src/auburnhollow/routes/table.py
@@ -12,7 +12,8 @@
     :param limits: :class:`~auburnhollow.routes.FrontLimits`.
     :param accounts: list of :class:`~auburnhollow.accounts.Account`; empty if callers need no key.
 
-    ``accounts`` maps names to accounts.
+    ``accounts`` maps names to accounts. ``has_homes`` tells whether any route or account is bound
+    to regions.
     """
 
     __slots__ = (
@@ -20,6 +21,7 @@
         "_by_prefix",
         "_splits",
         "accounts",
+        "has_homes",
         "limits",
         "routes",
         "services",
@@ -34,6 +36,8 @@
         self._by_prefix = {(route.host, route.prefix): route for route in routes}
         self._splits = {}
         self.accounts = {account.name: account for account in accounts}
+        bound = (*self.routes, *self.accounts.values())
+        self.has_homes = any(each.homes for each in bound)
         self._by_key = {}
         for account in accounts:
             for key_digest in account.key_digests:
