--- a/packages/auburnhollow/src/auburnhollow/pace/pace.py
+++ b/packages/auburnhollow/src/auburnhollow/pace/pace.py
@@ -102,6 +102,7 @@
         log_decision(
             log,
             "pace begun",
+            level=logging.DEBUG,
             server=server.id,
             service=server.service,
             reason=reason,
@@ -231,4 +232,10 @@
         if not finding.is_over(self._clock.now_ms()):
             return
         self._findings.pop(incarnation, None)
-        log_decision(log, "pace found", server=incarnation[0], reason=finding.reason)
+        log_decision(
+            log,
+            "pace found",
+            level=logging.DEBUG,
+            server=incarnation[0],
+            reason=finding.reason,
+        )
