Keep a waiting request from bringing the branches of an old configuration back

Cause: since requests wait for a token of their account, a configuration can change between finding a route and choosing its branch. Change: a table keeps splits of its own routes only; a request that has waited finds its route and shows its key again if the configuration has changed. Ruled out: late news of the configuration: the node had handled version 20 before. Tests of routes and accounts pass.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/entrance.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/entrance.py
@@ -64,6 +64,15 @@
         await self.quota.admit(request.account)
         self._dispatcher.gate.homes.enter(request, route)
 
+    def admit_again(self, request, route):
+        """Ask by a new configuration who makes an admitted request and where it may go.
+
+        :raises QueryError: if its key has been withdrawn meanwhile.
+        """
+        follower = self.follower
+        self._access.admit(request, route, follower.routes, follower.age_ms)
+        self._dispatcher.gate.homes.enter(request, route)
+
     def admit_delegated(self, request, route):
         """Check a request that another node has admitted, and narrow where it may go.
 
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -278,8 +278,13 @@
             if self.routes is None:
                 await self._wait_for_first_read(request)
             route = self._route(request)
+            table = self.routes
             await self.entrance.admit(request, route)
             with self.entrance.token(request):
+                if self.routes is not table:
+                    # The configuration has changed while the request waited.
+                    route = self._route(request)
+                    self.entrance.admit_again(request, route)
                 answer = await self._dispatch(request, route)
         except QueryError as error:
             self._request_log.failed(request, route, error, self._version)
--- a/packages/auburnhollow/src/auburnhollow/routes/table.py
+++ b/packages/auburnhollow/src/auburnhollow/routes/table.py
@@ -18,6 +18,7 @@
 
     __slots__ = (
         "_by_key",
+        "_by_name",
         "_by_prefix",
         "_splits",
         "accounts",
@@ -33,6 +34,7 @@
         self.routes = routes
         self.services = {service.name: service for service in services}
         self.limits = limits
+        self._by_name = {route.name: route for route in routes}
         self._by_prefix = {(route.host, route.prefix): route for route in routes}
         self._splits = {}
         self.accounts = {account.name: account for account in accounts}
@@ -67,7 +69,14 @@
         return None
 
     def branch(self, route, random):
-        """Return the service for the next request of a route with branches."""
+        """Return the service for the next request of a route with branches.
+
+        A request may have waited since its route was found, in a table of before; its branches
+        must not become those of this table.
+        """
+        own = self._by_name.get(route.name)
+        if own is None or own.branches != route.branches:
+            return Split(route.branches, random).next()
         split = self._splits.get(route.name)
         if split is None:
             split = Split(route.branches, random)
--- a/packages/auburnhollow/src/auburnhollow/routes/tests/test_routes.py
+++ b/packages/auburnhollow/src/auburnhollow/routes/tests/test_routes.py
@@ -71,3 +71,13 @@
     newer.take_over(older)
     taken += [newer.branch(route, rng) for _ in range(5)]
     assert taken == [expected.next() for _ in range(8)]
+
+
+def test_a_request_from_before_a_change_does_not_bring_the_old_branches_back():
+    rng = random.Random(1)
+    old, new = (
+        make_route(("a",), branches=(Branch(service=service, weight=1),)) for service in ("a", "b")
+    )
+    table = table_of(new, version=2)
+    assert table.branch(old, rng) == "a"
+    assert [table.branch(new, rng) for _ in range(5)] == ["b"] * 5
