Let the test of answers without end wait for its server's handlers

Seen: test_an_answer_without_end_is_cut_and_fails failed and ended pytest with an internal error, in the suite and alone, since its server's handlers outlived the event loop. Cause: nothing waited for them; a stream writer closed after the loop raises in its destructor. Change: the test waits for each handler, for at most 5 s, and fails if one ends in another way than by the end of its connection. The connection that checks whether the server lives sends no request. Ruled out: ignoring the warning, which would be weaker.

--- a/packages/auburnhollow/src/auburnhollow/backends/tests/test_client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/tests/test_client.py
@@ -22,6 +22,7 @@
 )
 
 SILENT_MS = 1_000.0
+CLOSE_TIMEOUT_S = 5.0
 
 
 def shard_call(request_id="r1", deadline_ms=5_000.0):
@@ -250,17 +251,21 @@
 )
 def test_an_answer_without_end_is_cut_and_fails(start, piece):
     sent = []
+    handlers = []
 
     async def serve(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(start)
+        handlers.append(asyncio.current_task())
         try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
             while True:
                 writer.write(piece)
                 sent.append(len(piece))
                 await writer.drain()
-        except OSError:
-            writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.transport.abort()
 
     async def run():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -273,6 +278,8 @@
         finally:
             await client.close()
             server.close()
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await asyncio.gather(*handlers)
 
     asyncio.run(run())
     assert sum(sent) < 32 * 1024 * 1024
