Say through whom a configuration came and how old the state before was

Cause: the hypotheses of the incident could not be told apart from logs: a node that was late did not say through which node its configuration came, how long its state had been unconfirmed, nor that a watcher had been silent (debug level). Change: through and unconfirmed_ms with each configuration in force, a histogram of the latter, and silent watchers at info level; refusals, which are many while the store is down, stay at debug. Ruled out: times of first knowledge carried between nodes, which need a new field in messages that nodes of the build before could not read. Measured: tests of follow pass; no change of logic.

--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -114,6 +114,7 @@
         "_random",
         "_revision",
         "_routes",
+        "_unconfirmed_ms",
         "_watch_task",
         "ask_peers",
         "change_log",
@@ -145,6 +146,7 @@
         self._revision = None
         self._routes = None
         self._confirmed_ms = None
+        self._unconfirmed_ms = None
         self._watch_task = None
         self.registry = registry
         self.evacuations = Evacuations(clock) if evacuations is None else evacuations
@@ -183,8 +185,11 @@
             return None
         return self._clock.now_ms() - self._confirmed_ms
 
-    def apply_routes(self, table):
-        """Put a route table in force unless its version is already known or older."""
+    def apply_routes(self, table, through=None):
+        """Put a route table in force unless its version is already known or older.
+
+        :param through: peer address of the node that it comes from, if not from the feed.
+        """
         known = self._routes
         if known is not None and table.version <= known.version:
             if table.version < known.version:
@@ -201,6 +206,8 @@
             version=table.version,
             before=None if known is None else known.version,
             routes=len(table.routes),
+            through=through or getattr(self._feed, "through", None),
+            unconfirmed_ms=self._unconfirmed_ms,
         )
         if self.on_routes is not None:
             self.on_routes(table)
@@ -310,6 +317,10 @@
         log_decision(log, "store read", revision=view.revision, servers=len(servers))
 
     def _on_store_reached(self):
+        age_ms = self.age_ms
+        if age_ms is not None:
+            self._unconfirmed_ms = round(age_ms)
+            self._metrics.timing("store.unconfirmed_ms", age_ms)
         self._confirmed_ms = self._clock.now_ms()
         if self._is_reachable:
             return
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -6,7 +6,7 @@
 from collections import deque
 
 from ..decisions import log_decision
-from ..exceptions import PeerError, StoreUnavailable
+from ..exceptions import PeerError, PeerRefused, StoreUnavailable
 from ..hashing import first_ranked, ranked
 from .feed import ConfigurationUpdate, EvacuationUpdate, Feed, HistoryLost, ServerUpdate, StoreView
 from .messages import (
@@ -121,12 +121,12 @@
 
     __slots__ = (
         "_clock",
-        "_is_direct",
         "_last_direct_ms",
         "_membership",
         "_peers",
         "_random",
         "_store",
+        "_through",
         "has_evacuations",
     )
 
@@ -137,13 +137,18 @@
         self._peers = peers
         self._membership = membership
         self._random = random
-        self._is_direct = True
+        self._through = None
         self.has_evacuations = lambda: False
 
     @property
     def is_direct(self):
         """Whether the last answer came from the store itself."""
-        return self._is_direct
+        return self._through is None
+
+    @property
+    def through(self):
+        """Peer address of the node that gave the last answer, ``None`` if it was the store."""
+        return self._through
 
     async def read(self):
         """Return a :class:`StoreView` of the store's current content."""
@@ -151,7 +156,7 @@
         for address in watchers:
             view = await self._read_from(address)
             if view is not None:
-                self._is_direct = False
+                self._through = address
                 return view
         self._switch_to_store(watchers)
         return await self._store.read()
@@ -162,7 +167,7 @@
         for address in watchers:
             view = await self._changes_from(address, revision)
             if view is not None:
-                self._is_direct = False
+                self._through = address
                 return view
         self._switch_to_store(watchers)
         if self._fleet_has_watchers() or self._ranks_first():
@@ -221,7 +226,7 @@
         ):
             raise StoreUnavailable("no watcher reaches the store")
         self._last_direct_ms = now_ms
-        self._is_direct = True
+        self._through = None
 
     def _watchers(self):
         """Return the addresses of watchers to try, empty when this node calls the store itself."""
@@ -258,9 +263,9 @@
         return first_ranked(RANKING_KEY, ids) == self._membership.me.id
 
     def _log_passed_over(self, address, error):
-        log_decision(
-            log, "watcher passed over", level=logging.DEBUG, peer=address, error=str(error)
-        )
+        # Watchers refuse all nodes while the store is down; one that is silent is rare.
+        level = logging.DEBUG if isinstance(error, PeerRefused) else logging.INFO
+        log_decision(log, "watcher passed over", level=level, peer=address, error=str(error))
 
 
 class ChangeServer:
--- a/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
@@ -113,7 +113,7 @@
         """Apply an answer; its servers only if the store confirmed them more recently."""
         follower = self._follower
         if answer.table is not None:
-            follower.apply_routes(unpack_table(answer.table))
+            follower.apply_routes(unpack_table(answer.table), through=address)
         for data_centre, known_revision, is_active in answer.evacuations or ():
             follower.evacuations.apply(data_centre, known_revision, is_active, "peer")
         if answer.age_ms is None or answer.servers is None:
