Bound the way of a change by the age of what a node knows, not by each ask

On a node in touch could be late by 4.9 s: it asked up to three silent watchers one after the other for 1.5 s each, after a watcher that was itself cut off from the store had said "nothing new" for up to 2.2 s; each limit fits the 3 s alone. Cause: limits of single steps in place of one for the way, and state handed on without its age. Change: a watcher answers when the store confirms its state and refuses when it has not for 2 s; a node asks the store itself once its own state has not been confirmed for 2 s, and leaves a silent watcher alone for 5 s. The state that a node takes over counts with its age. Only failed calls of its own make a node leave the store alone. Why it works: whatever watchers do, a node asks the store within 2 s of its last confirmation. Ruled out: an age in each answer, which nodes of the build before can't read.

--- a/packages/auburnhollow/src/auburnhollow/follow/feed.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/feed.py
@@ -63,10 +63,12 @@
     """A list of updates and the store revision up to which they are complete.
 
     ``has_evacuations`` is not set if the view comes from a node that knows of no evacuations.
+    ``age_ms`` is how long ago the store confirmed the view, in milliseconds; ``None`` if the node
+    that it comes from can't tell.
     """
 
-    __slots__ = ("updates", "revision", "has_evacuations")
-    DEFAULTS = {"has_evacuations": True}
+    __slots__ = ("updates", "revision", "has_evacuations", "age_ms")
+    DEFAULTS = {"has_evacuations": True, "age_ms": 0.0}
 
 
 class Feed:
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -247,7 +247,7 @@
         if self._revision is None:
             self._metrics.incr("store.reads")
             view = await self._feed.read()
-            self._on_store_reached()
+            self._on_store_reached(view)
             self._apply_snapshot(view)
         else:
             self._metrics.incr("store.watches")
@@ -259,7 +259,7 @@
                 return
             if view is None:
                 return
-            self._on_store_reached()
+            self._on_store_reached(view)
             for update in view.updates:
                 apply_update(update, self)
             self._set_revision(view.revision)
@@ -316,12 +316,9 @@
             self.evacuations.replace(evacuated, view.revision, self.source)
         log_decision(log, "store read", revision=view.revision, servers=len(servers))
 
-    def _on_store_reached(self):
-        age_ms = self.age_ms
-        if age_ms is not None:
-            self._unconfirmed_ms = round(age_ms)
-            self._metrics.timing("store.unconfirmed_ms", age_ms)
-        self._confirmed_ms = self._clock.now_ms()
+    def _on_store_reached(self, view):
+        if view.age_ms is not None:
+            self._on_confirmed(self._clock.now_ms() - view.age_ms)
         if self._is_reachable:
             return
         if self._is_reachable is False:
@@ -329,6 +326,14 @@
         self._is_reachable = True
         self.registry.outage_ended()
 
+    def _on_confirmed(self, confirmed_ms):
+        if self._confirmed_ms is not None:
+            unconfirmed_ms = self.age_ms
+            self._unconfirmed_ms = round(unconfirmed_ms)
+            self._metrics.timing("store.unconfirmed_ms", unconfirmed_ms)
+        self._confirmed_ms = confirmed_ms
+        self.change_log.notify()
+
     def _on_store_lost(self, error):
         self.registry.outage_began()
         if self._is_reachable is not False:
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -4,6 +4,7 @@
 import logging
 import math
 from collections import deque
+from contextlib import contextmanager
 
 from ..decisions import log_decision
 from ..exceptions import PeerError, PeerRefused, StoreUnavailable
@@ -27,19 +28,24 @@
 WATCHERS = 5
 RANKING_KEY = "store"
 MAX_KEPT_CHANGES = 400
-# Unlike store calls, calls between nodes are not billed; an unresponsive one must be noticed within
-# a second.
-PEER_WATCH_MS = 1_000.0
-PEER_TIMEOUT_MARGIN_MS = 500.0
-# A watcher must detect within two seconds that its own watch is unresponsive.
+# The longest time for which a node relies on others without the store's confirmation. Then it asks
+# the store itself, so that a change is in force within 3 s whichever watchers are faulty.
+MAX_UNCONFIRMED_MS = 2_000.0
+# With less of that time left, no further watcher is asked.
+MIN_ASK_MS = 500.0
+# An answer takes this much longer than the wait for a change.
+ANSWER_MARGIN_MS = 150.0
+READ_TIMEOUT_MS = 1_000.0
+# A watcher that cost this much time without an answer is left alone for a while.
+SILENT_MS = 250.0
+AVOID_MS = 5_000.0
+# Watchers confirm their state this often.
 WATCHER_TIMEOUT_MS = 1_200.0
 MAX_WATCHERS_TRIED = 3
-# Limit on the age of a watcher's state: the time that a change may take (3 s), less the transfer.
-MAX_STATE_AGE_MS = 2_500.0
-# While no watcher reaches the store, the other nodes try it at this interval, since the store may
-# reject only some nodes.
+# After a failed call of its own, a node that is not a watcher leaves the store alone for this long.
 DIRECT_RETRY_INTERVAL_MS = 2_000.0
 NO_VERSION = 0
+NOT_CONFIRMED = "the store has not confirmed this node's state for too long"
 
 
 class ChangeLog:
@@ -71,7 +77,7 @@
         self._set_revision(revision)
 
     def notify(self):
-        """Wake all waiters, after a change or when the store becomes unreachable."""
+        """Wake all waiters: there is a change, a confirmation, or the store is unreachable."""
         self._changed_event.set()
         self._changed_event = asyncio.Event()
 
@@ -86,13 +92,14 @@
         return found
 
     async def wait(self, clock, wait_ms):
-        """Wait up to ``wait_ms`` milliseconds for :meth:`notify`."""
+        """Wait up to ``wait_ms`` milliseconds for :meth:`notify`; return whether it came."""
         changed = self._changed_event
         try:
             async with clock.timeout(wait_ms):
                 await changed.wait()
         except TimeoutError:
-            return
+            return False
+        return True
 
     def _set_revision(self, revision):
         is_new = revision != self.revision
@@ -107,7 +114,8 @@
     In a fleet of more than ``MAX_DIRECT_NODES`` nodes, the nodes that rank first by rendezvous
     hashing in each data centre, ``WATCHERS`` or a few more in total, watch the store and serve the
     others. A node prefers watchers in its own data centre, since links between data centres are
-    costly, and calls the store itself when no watcher answers.
+    costly, and calls the store itself when no watcher answers, or when the store has not confirmed
+    its state through them for ``MAX_UNCONFIRMED_MS``.
 
     :param store: the :class:`Feed` of the store itself.
     :param peers: :class:`~auburnhollow.peers.Peers`.
@@ -120,8 +128,10 @@
     """
 
     __slots__ = (
+        "_avoid_until_ms",
         "_clock",
-        "_last_direct_ms",
+        "_confirmed_ms",
+        "_failed_ms",
         "_membership",
         "_peers",
         "_random",
@@ -131,8 +141,10 @@
     )
 
     def __init__(self, store, peers, membership, clock, random):
+        self._avoid_until_ms = {}
         self._clock = clock
-        self._last_direct_ms = None
+        self._confirmed_ms = None
+        self._failed_ms = None
         self._store = store
         self._peers = peers
         self._membership = membership
@@ -153,33 +165,42 @@
     async def read(self):
         """Return a :class:`StoreView` of the store's current content."""
         watchers = self._watchers()
-        for address in watchers:
-            view = await self._read_from(address)
+        limit_ms = self._limit_ms()
+        for address in watchers or ():
+            left_ms = limit_ms - self._clock.now_ms()
+            if left_ms < MIN_ASK_MS:
+                break
+            view = await self._read_from(address, min(left_ms, READ_TIMEOUT_MS))
             if view is not None:
-                self._through = address
-                return view
-        self._switch_to_store(watchers)
-        return await self._store.read()
+                return self._received(view, address)
+        with self._calling_store(watchers):
+            view = await self._store.read()
+        return self._received(view)
 
     async def changes(self, revision, wait_ms):
         """Return a :class:`StoreView` of the changes after ``revision``."""
         watchers = self._watchers()
-        for address in watchers:
-            view = await self._changes_from(address, revision)
+        limit_ms = self._limit_ms()
+        for address in watchers or ():
+            left_ms = limit_ms - self._clock.now_ms()
+            if left_ms < MIN_ASK_MS:
+                break
+            view = await self._changes_from(address, revision, left_ms)
             if view is not None:
-                self._through = address
-                return view
-        self._switch_to_store(watchers)
+                return self._received(view, address)
         if self._fleet_has_watchers() or self._ranks_first():
             wait_ms = min(wait_ms, WATCHER_TIMEOUT_MS)
-        return await self._store.changes(revision, wait_ms)
+        with self._calling_store(watchers):
+            view = await self._store.changes(revision, wait_ms)
+        return self._received(view)
 
-    async def _read_from(self, address):
+    async def _read_from(self, address, timeout_ms):
         """Return a watcher's state, or ``None`` when it has no fresh state or does not answer."""
         ask = StateAsk(version=NO_VERSION, revision=None, has_evacuations=self.has_evacuations())
+        started_ms = self._clock.now_ms()
         try:
-            answer = await self._peers.ask(address, ask, PEER_WATCH_MS + PEER_TIMEOUT_MARGIN_MS)
-            if answer.table is None or answer.age_ms is None or answer.age_ms > MAX_STATE_AGE_MS:
+            answer = await self._peers.ask(address, ask, timeout_ms)
+            if answer.table is None or answer.age_ms is None or answer.age_ms > MAX_UNCONFIRMED_MS:
                 return None
             updates = [ConfigurationUpdate(table=unpack_table(answer.table))]
             for server in unpack_servers(answer.servers):
@@ -188,51 +209,82 @@
                 if is_active:
                     updates.append(EvacuationUpdate(data_centre=data_centre, revision=revision))
         except PeerError as error:
-            self._log_passed_over(address, error)
+            self._pass_over(address, error, started_ms)
             return None
         return StoreView(
             updates=updates,
             revision=answer.revision,
             has_evacuations=answer.evacuations is not None,
+            age_ms=answer.age_ms,
         )
 
-    async def _changes_from(self, address, revision):
+    async def _changes_from(self, address, revision, timeout_ms):
         """Return the changes from a watcher, or ``None`` when it does not answer.
 
         :raises HistoryLost: when the watcher no longer keeps the changes since ``revision``.
         """
-        ask = ChangesAsk(revision=revision, wait_ms=PEER_WATCH_MS)
+        wait_ms = timeout_ms - ANSWER_MARGIN_MS
+        ask = ChangesAsk(revision=revision, wait_ms=wait_ms)
+        started_ms = self._clock.now_ms()
         try:
-            changes = await self._peers.ask(address, ask, PEER_WATCH_MS + PEER_TIMEOUT_MARGIN_MS)
+            changes = await self._peers.ask(address, ask, timeout_ms)
             if changes.updates is None:
                 raise HistoryLost(f"{address}: changes since {revision} are not kept")
             updates = [unpack_update(packed) for packed in changes.updates]
         except PeerError as error:
-            self._log_passed_over(address, error)
+            self._pass_over(address, error, started_ms)
             return None
-        return StoreView(updates=updates, revision=max(revision, changes.revision))
-
-    def _switch_to_store(self, watchers):
-        """Switch to direct calls to the store, rate-limited while the fleet has watchers.
+        # A watcher answers sooner only with changes, or when the store has confirmed its state.
+        is_confirmed = self._clock.now_ms() - started_ms < wait_ms
+        return StoreView(
+            updates=updates,
+            revision=max(revision, changes.revision),
+            age_ms=0.0 if is_confirmed else None,
+        )
 
-        :raises StoreUnavailable: when the last direct call is less than
-            ``DIRECT_RETRY_INTERVAL_MS`` ago.
+    def _limit_ms(self):
+        """Return until when this node may ask others instead of the store."""
+        confirmed_ms = self._confirmed_ms
+        if confirmed_ms is None:
+            confirmed_ms = self._clock.now_ms()
+        return confirmed_ms + MAX_UNCONFIRMED_MS
+
+    def _received(self, view, through=None):
+        """Return the view after noting from whom it came and when the store confirmed it."""
+        self._through = through
+        self._avoid_until_ms.pop(through, None)
+        if view.age_ms is not None:
+            self._confirmed_ms = self._clock.now_ms() - view.age_ms
+        return view
+
+    @contextmanager
+    def _calling_store(self, watchers):
+        """Run the block as a call to the store, at a bounded rate while such calls fail.
+
+        :param watchers: as returned by :meth:`_watchers`; watchers themselves are not limited.
+        :raises StoreUnavailable: when the last call failed less than ``DIRECT_RETRY_INTERVAL_MS``
+            ago.
         """
         now_ms = self._clock.now_ms()
         if (
-            watchers
-            and self._last_direct_ms is not None
-            and now_ms - self._last_direct_ms < DIRECT_RETRY_INTERVAL_MS
+            watchers is not None
+            and self._failed_ms is not None
+            and now_ms - self._failed_ms < DIRECT_RETRY_INTERVAL_MS
         ):
             raise StoreUnavailable("no watcher reaches the store")
-        self._last_direct_ms = now_ms
         self._through = None
+        try:
+            yield
+        except StoreUnavailable:
+            self._failed_ms = now_ms
+            raise
+        self._failed_ms = None
 
     def _watchers(self):
-        """Return the addresses of watchers to try, empty when this node calls the store itself."""
+        """Return the addresses of watchers to try, ``None`` when this node is to call the store."""
         ids = self._membership.answering()
         if len(ids) <= MAX_DIRECT_NODES:
-            return []
+            return None
         members = self._membership.members
         by_data_centre = {}
         for name in ids:
@@ -243,12 +295,21 @@
         for data_centre, names in by_data_centre.items():
             top_ranked = ranked(RANKING_KEY, names)[:count]
             if self._membership.me.id in top_ranked:
-                return []
+                return None
             group = local if data_centre == self._membership.me.data_centre else remote
-            group.extend(top_ranked)
+            group.extend(members[name].address for name in top_ranked)
         self._random.shuffle(local)
         self._random.shuffle(remote)
-        return [members[name].address for name in (local + remote)[:MAX_WATCHERS_TRIED]]
+        return self._not_avoided(local + remote)[:MAX_WATCHERS_TRIED]
+
+    def _not_avoided(self, addresses):
+        if not self._avoid_until_ms:
+            return addresses
+        now_ms = self._clock.now_ms()
+        for address, until_ms in list(self._avoid_until_ms.items()):
+            if until_ms <= now_ms:
+                del self._avoid_until_ms[address]
+        return [address for address in addresses if address not in self._avoid_until_ms]
 
     def _fleet_has_watchers(self):
         return len(self._membership.answering()) > MAX_DIRECT_NODES
@@ -262,7 +323,11 @@
         ids = self._membership.answering()
         return first_ranked(RANKING_KEY, ids) == self._membership.me.id
 
-    def _log_passed_over(self, address, error):
+    def _pass_over(self, address, error, asked_ms):
+        """Note that a watcher, asked at ``asked_ms``, has not answered."""
+        now_ms = self._clock.now_ms()
+        if not isinstance(error, PeerRefused) and now_ms - asked_ms >= SILENT_MS:
+            self._avoid_until_ms[address] = now_ms + AVOID_MS
         # Watchers refuse all nodes while the store is down; one that is silent is rare.
         level = logging.DEBUG if isinstance(error, PeerRefused) else logging.INFO
         log_decision(log, "watcher passed over", level=level, peer=address, error=str(error))
@@ -286,13 +351,19 @@
     async def answer(self, message):
         """Answer a :class:`ChangesAsk`.
 
+        The wait ends with a change, with the store's confirmation that there is none, or when this
+        node's own state has not been confirmed for too long.
+
         :raises StoreUnavailable: when this node does not currently reach the store itself.
         """
         change_log = self._follower.change_log
         self._check()
         if change_log.revision <= message.revision:
-            await change_log.wait(self._clock, message.wait_ms)
+            fresh_ms = MAX_UNCONFIRMED_MS - self._follower.age_ms
+            is_notified = await change_log.wait(self._clock, min(message.wait_ms, fresh_ms))
             self._check()
+            if not is_notified and fresh_ms < message.wait_ms:
+                raise StoreUnavailable(NOT_CONFIRMED)
         updates = change_log.after(message.revision)
         if updates is not None:
             updates = [pack_update(update) for update in updates]
@@ -306,3 +377,5 @@
             or follower.change_log.revision is None
         ):
             raise StoreUnavailable("this node does not reach the store itself")
+        if follower.age_ms >= MAX_UNCONFIRMED_MS:
+            raise StoreUnavailable(NOT_CONFIRMED)
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_sharing.py
@@ -43,13 +43,17 @@
 
 
 class InMemoryStore(Feed):
-    """A store in memory that counts calls and rejects the clients named in ``rejected``."""
+    """A store in memory that counts calls.
+
+    It rejects the clients named in ``rejected`` and never answers those in ``silent``.
+    """
 
     def __init__(self, clock):
         self.clock = clock
         self.updates = [ConfigurationUpdate(table=make_table(1))]
         self.calls = 0
         self.rejected = set()
+        self.silent = set()
 
     def client(self, name):
         return StoreClient(self, name)
@@ -63,7 +67,7 @@
         until_ms = self.clock.now_ms() + wait_ms
         while len(self.updates) == revision and self.clock.now_ms() < until_ms:
             await self.clock.sleep(20)
-            if name in self.rejected:
+            if name in self.rejected or name in self.silent:
                 await self.clock.sleep(10_000)
         updates = self.updates[revision:]
         return StoreView(updates=updates, revision=len(self.updates))
@@ -71,6 +75,8 @@
     async def _call(self, name):
         self.calls += 1
         await self.clock.sleep(4)
+        if name in self.silent:
+            await self.clock.sleep(60_000)
         if name in self.rejected:
             raise StoreUnavailable("refused")
 
