--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -197,6 +197,9 @@
             self.follower, self.peers, self._other_nodes, self._random, self.clock
         )
         self.follower.ask_peers = state_exchange.ask
+        self._delegation.address = settings.peer
+        self._delegation.state_exchange = state_exchange
+        self._delegation_server.state_exchange = state_exchange
         self.peer_server.on(StateAsk, state_exchange.answer)
 
     @property
--- a/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
@@ -1,5 +1,6 @@
 """Exchanges store state between nodes, so that they can catch up while the store is unreachable."""
 
+import asyncio
 import logging
 
 from ..clock import Clock
@@ -28,6 +29,7 @@
 
     __slots__ = (
         "_addresses",
+        "_asking",
         "_cached",
         "_cached_ms",
         "_clock",
@@ -44,9 +46,16 @@
         self._random = random
         self._clock = clock or Clock()
         self._learned_revision = None
+        self._asking = {}
         self._cached = None
         self._cached_ms = 0.0
 
+    @property
+    def version(self):
+        """The version of the configuration in force, 0 before the first."""
+        routes = self._follower.routes
+        return NO_VERSION if routes is None else routes.version
+
     async def answer(self, message):
         """Answer a :class:`StateAsk`."""
         follower = self._follower
@@ -75,20 +84,39 @@
         chosen = self._random.sample(addresses, min(NODES_ASKED, len(addresses)))
         answered = 0
         for address in chosen:
-            routes = self._follower.routes
-            version = NO_VERSION if routes is None else routes.version
-            request = StateAsk(version=version, revision=self._revision())
-            try:
-                answer = await self._peers.ask(address, request, ASK_TIMEOUT_MS)
-                self._apply(address, answer)
-            except PeerError as error:
-                log_decision(
-                    log, "no state from node", level=logging.DEBUG, peer=address, error=str(error)
-                )
-                continue
-            answered += 1
+            answered += await self._ask_node(address, ASK_TIMEOUT_MS)
         return answered
 
+    async def catch_up(self, address, version, timeout_ms=ASK_TIMEOUT_MS):
+        """Ask one node that knows ``version`` of the configuration, unless this node does too.
+
+        Calls for the same node share one question.
+
+        :returns: whether this node has that version, or a newer one, now.
+        """
+        if self.version < version:
+            asking = self._asking.get(address)
+            if asking is None:
+                work = self._ask_node(address, timeout_ms)
+                asking = asyncio.get_running_loop().create_task(work)
+                self._asking[address] = asking
+                asking.add_done_callback(lambda _task: self._asking.pop(address))
+            await asyncio.shield(asking)
+        return self.version >= version
+
+    async def _ask_node(self, address, timeout_ms):
+        """Apply what one node knows beyond the local state; return whether it answered."""
+        request = StateAsk(version=self.version, revision=self._revision())
+        try:
+            answer = await self._peers.ask(address, request, timeout_ms)
+            self._apply(address, answer)
+        except PeerError as error:
+            log_decision(
+                log, "no state from node", level=logging.DEBUG, peer=address, error=str(error)
+            )
+            return False
+        return True
+
     def _pack_servers(self, known_revision):
         """Return a revision and the packed servers of that revision, at most ``CACHE_MS`` old.
 
--- a/packages/auburnhollow/src/auburnhollow/reach/gossip.py
+++ b/packages/auburnhollow/src/auburnhollow/reach/gossip.py
@@ -6,6 +6,8 @@
 KIND = "reach"
 # Entries are published on demand, so old ones are dropped.
 RETENTION_MS = 3_600_000
+# In entries of builds that compare the versions of configurations when they answer for others.
+COMPARES_VERSIONS = True
 # Nodes of each data centre that say that they reach servers, when another one does not.
 MAX_HELPERS = 16
 
@@ -28,6 +30,7 @@
 
     __slots__ = (
         "_clock",
+        "_comparing",
         "_cut_off",
         "_gossiper",
         "_membership",
@@ -42,6 +45,7 @@
         self._gossiper = gossiper
         self._membership = membership
         self._clock = clock
+        self._comparing = set()
         self._cut_off = set()
         self._published_ms = 0
         self._states = {}
@@ -56,7 +60,7 @@
                 kind=KIND,
                 key=self._membership.me.id,
                 version=self._published_ms,
-                value=[self._reach.is_cut_off],
+                value=[self._reach.is_cut_off, COMPARES_VERSIONS],
                 expires_ms=self._published_ms + RETENTION_MS,
             )
         )
@@ -79,6 +83,10 @@
                 found.append(members[name])
         return found
 
+    def compares_versions(self, name):
+        """Return whether a node reads the version in a delegated request."""
+        return name in self._comparing
+
     def count_cut_off(self, data_centre):
         """Return how many live nodes of a data centre have said that they reach no server."""
         members = self._membership.members
@@ -100,8 +108,12 @@
         return None if member is None or version_ms < member.incarnation else is_cut_off
 
     def _on_entry(self, entry):
-        is_cut_off = entry.value[0]
+        is_cut_off, *features = entry.value
         self._states[entry.key] = (is_cut_off, entry.version)
+        if features:
+            self._comparing.add(entry.key)
+        else:
+            self._comparing.discard(entry.key)
         if is_cut_off:
             self._cut_off.add(entry.key)
         else:
--- a/packages/auburnhollow/src/auburnhollow/reach/tests/test_reach.py
+++ b/packages/auburnhollow/src/auburnhollow/reach/tests/test_reach.py
@@ -5,7 +5,9 @@
 
 import pytest
 
-from auburnhollow.reach import Reach
+from auburnhollow.gossip import GossipEntry
+from auburnhollow.membership import ALIVE, Member
+from auburnhollow.reach import Reach, ReachGossip
 from auburnhollow.servers import ServerRegistry
 from auburnhollow_standins.fake_servers import DATA_CENTRES, make_server
 from auburnhollow_standins.virtual import VirtualClock, run_virtually
@@ -181,3 +183,53 @@
 
     bed = run(scenario, hangs=False)
     assert [is_cut_off for _, is_cut_off in bed.changes] == [True, False] * 5
+
+
+class FakeGossip:
+    """A table and a gossiper of one node; ``published`` lists its own entries."""
+
+    def __init__(self):
+        self.published = []
+        self.hear = None
+
+    def on(self, _kind, listener):
+        self.hear = listener
+
+    def publish(self, entry):
+        self.published.append(entry)
+
+
+class Alone:
+    """A membership without other nodes."""
+
+    members = {}
+
+    def __init__(self):
+        self.me = Member(
+            id="here",
+            address="here:1",
+            data_centre=DATA_CENTRES[0],
+            state=ALIVE,
+            incarnation=1,
+            revision=0,
+            ready=True,
+        )
+
+    def answering(self):
+        return ()
+
+
+def test_builds_that_compare_versions_are_told_from_those_before():
+    async def scenario(bed):
+        gossip = FakeGossip()
+        reach_gossip = ReachGossip(bed.reach, gossip, gossip, Alone(), bed.clock)
+        reach_gossip.publish()
+        (own,) = gossip.published
+        assert own.value[0] is False
+        for name, value in (("new", own.value), ("old", own.value[:1])):
+            gossip.hear(GossipEntry(kind=own.kind, key=name, version=1, value=value, expires_ms=9))
+        assert reach_gossip.compares_versions("new")
+        assert not reach_gossip.compares_versions("old")
+        assert not reach_gossip.compares_versions("unknown")
+
+    run(scenario)
--- a/packages/auburnhollow/src/auburnhollow/relay/delegation.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/delegation.py
@@ -39,6 +39,8 @@
 # With less time left, a request is not delegated.
 MIN_REMAINING_MS = 30.0
 AVOID_MS = 1_000.0
+# A node whose configuration is too old asks the sender for its own within this time.
+CATCH_UP_MS = 150.0
 # A request that has failed waits this long for a check in progress to be decided.
 DECISION_MS = 500.0
 # Other nodes have said by then that they reach servers.
@@ -52,13 +54,17 @@
     """Sends requests to nodes that reach the servers while this node does not.
 
     A request that may run once at most goes to a second node only if the first one has said that it
-    did not run.
+    did not run. No request is decided by an older configuration than this node's own, nor than the
+    newest by which another node has decided one.
 
     :param dispatcher: :class:`~auburnhollow.relay.Dispatcher`.
     :param reach_gossip: :class:`~auburnhollow.reach.ReachGossip`.
     :param peers: :class:`~auburnhollow.peers.Peers`.
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param random: a :class:`random.Random`.
+
+    ``state_exchange`` is the :class:`~auburnhollow.follow.StateExchange` that knows this node's
+    version of the configuration, ``address`` this node's peer address.
     """
 
     __slots__ = (
@@ -66,10 +72,14 @@
         "_clock",
         "_dispatcher",
         "_in_progress",
+        "_newest_version",
         "_peers",
         "_random",
         "_reach_gossip",
         "_stranded",
+        "_tasks",
+        "address",
+        "state_exchange",
     )
 
     def __init__(self, dispatcher, reach_gossip, peers, clock, random):
@@ -80,7 +90,11 @@
         self._random = random
         self._avoid_until_ms = {}
         self._in_progress = {}
+        self._newest_version = 0
         self._stranded = asyncio.Event()
+        self._tasks = set()
+        self.address = None
+        self.state_exchange = None
         dispatcher.reach.on_change = self._on_reach_change
         reach_gossip.on_change = self._update
 
@@ -190,8 +204,17 @@
         :raises QueryError: when it has failed to answer.
         :raises PeerError: as :meth:`~auburnhollow.peers.Peers.stream` does.
         """
-        message = pack_request(request, self._clock.now_ms(), is_repeat, attempts)
-        log_decision(log, "request delegated", request.id, through=member.id, is_repeat=is_repeat)
+        version = self._least_version(member)
+        sender = None if version is None else self.address
+        message = pack_request(request, self._clock.now_ms(), is_repeat, attempts, version, sender)
+        log_decision(
+            log,
+            "request delegated",
+            request.id,
+            through=member.id,
+            is_repeat=is_repeat,
+            version=version,
+        )
         self._dispatcher.metrics.incr("relay.delegated")
         self._in_progress[member.id] = self._in_progress.get(member.id, 0) + 1
         try:
@@ -201,6 +224,23 @@
             if not self._in_progress[member.id]:
                 del self._in_progress[member.id]
 
+    def _least_version(self, member):
+        """Return the oldest version by which a node may decide, ``None`` if it can't compare."""
+        if self.state_exchange is None or not self._reach_gossip.compares_versions(member.id):
+            return None
+        return max(self._newest_version, self.state_exchange.version)
+
+    def _hear_version(self, member, version):
+        """Take over the configuration of another node if it is newer."""
+        if version is None or version <= self._newest_version:
+            return
+        self._newest_version = version
+        task = asyncio.get_running_loop().create_task(
+            self.state_exchange.catch_up(member.address, version)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _receive(self, member, message):
         parts = []
         is_taken = False
@@ -210,6 +250,7 @@
                 async for answer in answers:
                     if isinstance(answer, DelegatedTaken):
                         is_taken = True
+                        self._hear_version(member, answer.version)
                         continue
                     if isinstance(answer, DelegatedBody):
                         parts.append(answer.data)
@@ -234,7 +275,7 @@
     def _choose(self, request, asked):
         """Return the node with the fewest requests of this node, or ``None``.
 
-        It lies in a home of the request.
+        It lies in a home of the request. Nodes that compare versions are preferred.
 
         It is one of this data centre if it has as many nodes that reach servers as nodes that do
         not: otherwise these few would get all of the requests.
@@ -250,6 +291,10 @@
             candidates.append(member)
         if not candidates:
             return None
+        comparing = [
+            member for member in candidates if self._reach_gossip.compares_versions(member.id)
+        ]
+        candidates = comparing or candidates
         data_centre = self._dispatcher.choice.data_centre
         near = [member for member in candidates if member.data_centre == data_centre]
         if near and len(near) >= self._reach_gossip.count_cut_off(data_centre):
@@ -266,9 +311,11 @@
         how many servers of each service it may run.
     :param is_open: function that returns whether this node accepts requests.
     :param random: a :class:`random.Random`.
+
+    ``state_exchange`` is the :class:`~auburnhollow.follow.StateExchange` of this node.
     """
 
-    __slots__ = ("_dispatcher", "_handle", "_in_progress", "_is_open", "_random")
+    __slots__ = ("_dispatcher", "_handle", "_in_progress", "_is_open", "_random", "state_exchange")
 
     def __init__(self, dispatcher, handle, is_open, random):
         self._dispatcher = dispatcher
@@ -276,6 +323,7 @@
         self._is_open = is_open
         self._random = random
         self._in_progress = 0
+        self.state_exchange = None
 
     @property
     def in_progress(self):
@@ -288,11 +336,9 @@
         :raises Unavailable: if this node does not accept it.
         """
         if not self._is_open() or self._in_progress >= MAX_IN_PROGRESS:
-            raise Unavailable(
-                "this node accepts no delegated requests now",
-                ran=Ran.NO,
-                retry_after_ms=jittered_ms(self._random, RETRY_MS),
-            )
+            raise self._unavailable("this node accepts no delegated requests now")
+        if message.version is not None and not await self._catch_up(message):
+            raise self._unavailable("this node's configuration is older than the sender's")
         dispatcher = self._dispatcher
         request = unpack_request(message, dispatcher.clock.now_ms(), ONE_WAY_MS)
         dispatcher.metrics.incr("relay.delegated_taken")
@@ -306,12 +352,25 @@
         )
         self._in_progress += 1
         try:
-            yield DelegatedTaken()
+            yield DelegatedTaken(version=self._version_for(message))
             for each in await self._answers(request, message):
                 yield each
         finally:
             self._in_progress -= 1
 
+    async def _catch_up(self, message):
+        """Return whether this node has the configuration that a request needs, or now gets it."""
+        exchange = self.state_exchange
+        if exchange.version >= message.version:
+            return True
+        return await exchange.catch_up(message.sender, message.version, CATCH_UP_MS)
+
+    def _version_for(self, message):
+        return None if message.version is None else self.state_exchange.version
+
+    def _unavailable(self, detail):
+        return Unavailable(detail, ran=Ran.NO, retry_after_ms=jittered_ms(self._random, RETRY_MS))
+
     async def _answers(self, request, message):
         try:
             answer = await self._handle(request, message.is_repeat, message.attempts)
--- a/packages/auburnhollow/src/auburnhollow/relay/delegation_messages.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/delegation_messages.py
@@ -16,7 +16,9 @@
     ``age_ms`` is how long the caller has waited, ``remaining_ms`` how long it still waits.
     ``is_repeat`` is set if servers may have run the request already; each send then counts against
     the budget for repeats. ``attempts`` is on how many servers of each service it may run.
-    ``account`` and ``homes`` are those of the request.
+    ``account`` and ``homes`` are those of the request. ``version`` is the oldest version of the
+    configuration that may decide where it goes, known to the node at the peer address ``sender``;
+    ``None`` for nodes of builds that know of neither.
     """
 
     __slots__ = (
@@ -33,15 +35,21 @@
         "attempts",
         "account",
         "homes",
+        "version",
+        "sender",
     )
-    DEFAULTS = {"account": None, "homes": None}
+    DEFAULTS = {"account": None, "homes": None, "version": None, "sender": None}
 
 
 @register("delegated-taken")
 class DelegatedTaken(Message):
-    """The node has accepted the request."""
+    """The node has accepted the request.
 
-    __slots__ = ()
+    ``version`` is that of its configuration, if the request names one.
+    """
+
+    __slots__ = ("version",)
+    DEFAULTS = {"version": None}
 
     @property
     def is_last(self):
@@ -79,7 +87,7 @@
     __slots__ = ("code", "detail", "ran", "retry_after_ms")
 
 
-def pack_request(request, now_ms, is_repeat, attempts):
+def pack_request(request, now_ms, is_repeat, attempts, version=None, sender=None):
     """Return the :class:`DelegatedRequest` for a request."""
     return DelegatedRequest(
         id=request.id,
@@ -95,6 +103,8 @@
         attempts=attempts,
         account=request.account,
         homes=None if request.homes is None else list(request.homes),
+        version=version,
+        sender=sender,
     )
 
 
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_delegation.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_delegation.py
@@ -8,7 +8,7 @@
 from auburnhollow.peers import Peers
 from auburnhollow.relay import Answer
 from auburnhollow.relay.delegation import Delegation
-from auburnhollow.relay.delegation_messages import DelegatedTaken, pack_answer
+from auburnhollow.relay.delegation_messages import DelegatedRequest, DelegatedTaken, pack_answer
 from auburnhollow_standins.fake_servers import HOME, RelayBed, make_request, make_route
 from auburnhollow_standins.virtual import run_virtually
 
@@ -21,6 +21,11 @@
     """Gossip of one node that reaches servers."""
 
     on_change = None
+    is_comparing = True
+
+    def compares_versions(self, _name):
+        """Return whether the helper's build does."""
+        return self.is_comparing
 
     def publish(self):
         """Publish nothing."""
@@ -51,7 +56,17 @@
             yield each
 
 
-def run_failing(runs):
+class KnownVersion:
+    """The state exchange of a node with version 7 of the configuration."""
+
+    version = 7
+
+    async def catch_up(self, _address, version):
+        """Learn nothing."""
+        return version <= self.version
+
+
+def run_failing(runs, is_comparing=True):
     """Fail a request here after it may have run on some servers, while this node is cut off.
 
     :returns: the messages to the helper.
@@ -60,9 +75,11 @@
     async def scenario():
         bed = RelayBed({"s0": (HOME,) * 3})
         peers = AnsweringPeers()
-        delegation = Delegation(
-            bed.dispatcher, FakeReachGossip(), peers, bed.clock, random.Random(1)
-        )
+        reach_gossip = FakeReachGossip()
+        reach_gossip.is_comparing = is_comparing
+        delegation = Delegation(bed.dispatcher, reach_gossip, peers, bed.clock, random.Random(1))
+        delegation.address = "here:1"
+        delegation.state_exchange = KnownVersion()
 
         async def dispatch_here(_request, _route):
             bed.dispatcher.set_stranded(True)
@@ -106,3 +123,15 @@
 
     runs, most_runs = run_virtually(scenario())
     assert runs >= most_runs >= 1
+
+
+def test_a_helper_that_compares_versions_gets_this_nodes():
+    (message,) = run_failing(runs=0)
+    assert (message.version, message.sender) == (7, "here:1")
+
+
+def test_a_helper_of_the_build_before_gets_a_message_that_it_can_read():
+    (message,) = run_failing(runs=0, is_comparing=False)
+    assert message.version is None
+    known_fields = DelegatedRequest.__slots__.index("account")
+    assert len(message.to_short_list()) == known_fields
