Show that a response that ends in its head is never taken for a whole one

Cause: operators of systems like ours saw replicas that stop in the middle of a response head and close; callers got a 200 with a short body. The question is whether that can happen here. No change of the programs: it can't happen there, since aiohttp fails a call whose head has not ended. No other HTTP parser reads what servers send.

--- a/packages/auburnhollow/src/auburnhollow/backends/tests/test_client.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/tests/test_client.py
@@ -160,6 +160,15 @@
     assert (result.ran is Ran.NO) is is_refusal
 
 
+def test_an_answer_that_ends_in_its_head_is_an_error_wherever_it_ends():
+    whole = http_response(b"{}")
+    results = []
+    for length in range(whole.index(b"\r\n\r\n") + 4):
+        raw_server = RawServer(lambda call, length=length: whole[:length])
+        results += asyncio.run(send_calls(raw_server, shard_call()))
+    assert {type(result) for result in results} == {BackendCut}
+
+
 def test_a_late_answer_on_a_reused_connection_is_rejected():
     """The server answers each call with the answer to the previous one."""
     previous_calls = []
