Answer each request before a stopping node ends, and refuse those that come too late

Cause: nothing tied the requests to the end of the grace: one in progress was cut by the closing of its connection, and one whose body came late was passed on however little time was left. Change: from the signal on each request ends a quarter of a second before the node does, with an error that promises nothing; one that is read with less time left than its objective (at most a second) is refused at once, not run, with a time to come back. Ruled out: closing connections sooner, which cuts callers that are within their rights.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/main.py
@@ -21,6 +21,8 @@
 log = logging.getLogger("node")
 
 DRAIN_POLL_INTERVAL_MS = 50.0
+# In this time before the end, requests that are not finished are answered with an error.
+LAST_ANSWERS_MS = 250.0
 # Requests create few reference cycles, and a full collection pauses the node for milliseconds.
 GC_THRESHOLD = 50_000
 
@@ -107,12 +109,14 @@
     The node first reports that it is not ready. The balancer keeps sending for a while, so new
     requests are still served for ``linger_ms``. Then the node accepts no new connections, closes
     idle ones and finishes the requests in progress. ``kill`` ends the wait early, and
-    ``shutdown_ms`` bounds it.
+    ``shutdown_ms`` bounds it: requests that can't be finished by then are refused, and those that
+    are not finished shortly before are answered with an error.
     """
     settings = node.settings
     log_decision(log, "stopping", linger_ms=settings.linger_ms, in_progress=node.in_progress)
     started_ms = node.clock.now_ms()
     node.is_stopping = True
+    node.last_requests.end_by(started_ms + settings.shutdown_ms - LAST_ANSWERS_MS)
     await node.leave()
     front.close_after_answers()
     with suppress(TimeoutError):
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -42,6 +42,7 @@
 from ..fleet import Fleet
 from .entrance import Entrance
 from .lag import LoopLag
+from .last_requests import LastRequests
 from .request_log import RequestLog
 from .settings import PACE_ALWAYS, PACE_CONFIGURED
 
@@ -93,6 +94,7 @@
         "follower",
         "gate",
         "is_stopping",
+        "last_requests",
         "metrics",
         "peer_server",
         "peers",
@@ -110,6 +112,7 @@
         self._random = random.Random(settings.seed)
         self._tasks = []
         self._in_progress = 0
+        self.last_requests = LastRequests(self.clock, self._random)
         self._lag = LoopLag(self.clock)
         self._request_log = RequestLog(self.clock, self.metrics)
         self.count_connections = None
@@ -281,14 +284,15 @@
             if self.routes is None:
                 await self._wait_for_first_read(request)
             route = self._route(request)
-            table = self.routes
-            await self.entrance.admit(request, route)
-            with self.entrance.token(request):
-                if self.routes is not table:
-                    # The configuration has changed while the request waited.
-                    route = self._route(request)
-                    self.entrance.admit_again(request, route)
-                answer = await self._dispatch(request, route)
+            async with self.last_requests.bounded(route):
+                table = self.routes
+                await self.entrance.admit(request, route)
+                with self.entrance.token(request):
+                    if self.routes is not table:
+                        # The configuration has changed while the request waited.
+                        route = self._route(request)
+                        self.entrance.admit_again(request, route)
+                    answer = await self._dispatch(request, route)
         except QueryError as error:
             self._request_log.failed(request, route, error, self._version)
             raise
