--- a/packages/auburnhollow-node/src/auburnhollow_node/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/node.py
@@ -243,6 +243,7 @@
         )
         self.orders = Orders(self.components, self.claimer, self.attempts, settings.claim_window_ms)
         self.delegation = RequestDelegation(
+            self.configuration_holder,
             self.coordinator,
             self.orders,
             self.components.reach,
--- a/packages/auburnhollow/src/auburnhollow/scatter/delegation.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/delegation.py
@@ -32,9 +32,14 @@
 
 @register("delegated-search")
 class DelegatedSearch(Message):
-    """A caller's search, for another node to answer; ``search`` is :meth:`Search.to_list`."""
+    """A caller's search, for another node to answer; ``search`` is :meth:`Search.to_list`.
 
-    __slots__ = ("search",)
+    ``revision`` is the oldest revision of the configuration by which it may be answered, ``None``
+    for nodes of builds that do not compare.
+    """
+
+    __slots__ = ("search", "revision")
+    DEFAULTS = {"revision": None}
 
 
 @register("delegated-search-answer")
@@ -49,9 +54,13 @@
 
 @register("delegated-order")
 class DelegatedOrder(Message):
-    """A caller's order, for another node to run; ``order`` is :meth:`Order.to_list`."""
+    """A caller's order, for another node to run; ``order`` is :meth:`Order.to_list`.
+
+    ``revision`` is as that of :class:`DelegatedSearch`.
+    """
 
-    __slots__ = ("order",)
+    __slots__ = ("order", "revision")
+    DEFAULTS = {"revision": None}
 
 
 @register("delegated-order-result")
@@ -71,8 +80,10 @@
 class RequestDelegation:
     """Answers the requests of callers here, or through other nodes while this one is cut off.
 
-    An order goes to a second node only if the first one has said that it did not run.
+    An order goes to a second node only if the first one has said that it did not run. A node whose
+    configuration is older than the sender's refuses.
 
+    :param configuration_holder: :class:`~auburnhollow.configuration.ConfigurationHolder`.
     :param coordinator: :class:`~auburnhollow.scatter.Coordinator`.
     :param orders: :class:`~auburnhollow.once.Orders`.
     :param reach: :class:`~auburnhollow.reach.Reach`.
@@ -86,6 +97,7 @@
     __slots__ = (
         "_avoid_until_ms",
         "_clock",
+        "_configuration_holder",
         "_coordinator",
         "_metrics",
         "_orders",
@@ -95,7 +107,19 @@
         "_reach_gossip",
     )
 
-    def __init__(self, coordinator, orders, reach, reach_gossip, peers, clock, random, metrics):
+    def __init__(
+        self,
+        configuration_holder,
+        coordinator,
+        orders,
+        reach,
+        reach_gossip,
+        peers,
+        clock,
+        random,
+        metrics,
+    ):
+        self._configuration_holder = configuration_holder
         self._coordinator = coordinator
         self._orders = orders
         self._reach = reach
@@ -143,7 +167,7 @@
         """Answer a :class:`DelegatedSearch`."""
         search = Search.from_list(message.search)
         try:
-            self._check_open()
+            self._check_open(message.revision)
             answer = await self._coordinator.search(search)
         except QueryError as error:
             return _refusal(error)
@@ -159,7 +183,7 @@
     async def answer_order(self, message):
         """Answer a :class:`DelegatedOrder`."""
         try:
-            self._check_open()
+            self._check_open(message.revision)
             result = await self._orders.run(Order.from_list(message.order))
         except QueryError as error:
             return _refusal(error)
@@ -179,9 +203,11 @@
                 return False
         return self._is_stranded
 
-    def _check_open(self):
+    def _check_open(self, revision):
         if self._reach.is_cut_off:
             raise self._unavailable("this node reaches no server either")
+        if revision is not None and self._configuration_holder.number < revision:
+            raise self._unavailable("this node's configuration is older than the sender's")
 
     async def _ask_until_answered(self, request_id, message, limit_ms, is_repeatable=True):
         asked = []
@@ -192,6 +218,7 @@
             if member is None or remaining_ms < MIN_REMAINING_MS:
                 break
             asked.append(member.id)
+            message.revision = self._least_revision(member)
             log_decision(log, "request delegated", request_id, through=member.id)
             self._metrics.incr("scatter.delegated")
             try:
@@ -214,6 +241,12 @@
             raise error
         raise self._unavailable(f"no server is reached from here, nor through others: {error}")
 
+    def _least_revision(self, member):
+        """Return the oldest revision by which a node may answer, ``None`` if it can't compare."""
+        if not self._reach_gossip.compares_versions(member.id):
+            return None
+        return self._configuration_holder.number
+
     def _choose(self, asked):
         now_ms = self._clock.now_ms()
         candidates = []
--- a/packages/auburnhollow/src/auburnhollow/scatter/tests/test_cut_off_node.py
+++ b/packages/auburnhollow/src/auburnhollow/scatter/tests/test_cut_off_node.py
@@ -129,3 +129,61 @@
         return answer.coverage.is_complete
     except QueryError:
         return False
+
+
+@pytest.mark.parametrize("kind", ["search", "order"])
+@pytest.mark.parametrize("behind", [("n1",), ("n1", "n2")], ids=["one", "all"])
+def test_no_helper_answers_by_an_older_configuration_than_the_senders(kind, behind):
+    async def scenario():
+        backends = []
+        servers = {}
+
+        def make_backends(clock):
+            backends.append(CutBackends(servers, clock, Pausable()))
+            return backends[-1]
+
+        async with virtual_fleet(make_backends=make_backends) as fleet:
+            servers.update(fleet.servers)
+            await fleet.clock.sleep(2_000)
+            backends[0].is_cut = True
+            node = fleet.nodes["n0"].node
+            while not await ask(fleet, node, kind):
+                await fleet.clock.sleep(INTERVAL_MS)
+            for name, virtual_node in fleet.nodes.items():
+                holder = virtual_node.node.configuration_holder
+                if name not in behind:
+                    holder._stored.number += 1
+            answered = Counter()
+            for name in behind:
+                count_answers(fleet.nodes[name].node, answered)
+            results = [await ask(fleet, node, kind) for _ in range(20)]
+            return results, answered.total()
+
+    results, answered = run_virtually(scenario())
+    assert answered == 0
+    assert all(results) is (len(behind) == 1)
+
+
+def count_answers(node, answered):
+    """Count the searches and orders that a node starts."""
+    coordinator, orders = node.delegation._coordinator, node.delegation._orders
+    node.delegation._coordinator = CountingCalls(coordinator, answered)
+    node.delegation._orders = CountingCalls(orders, answered)
+
+
+class CountingCalls:
+    """A coordinator or orders that also counts its calls."""
+
+    def __init__(self, inner, answered):
+        self._inner = inner
+        self._answered = answered
+
+    async def search(self, search):
+        """Answer a search."""
+        self._answered["search"] += 1
+        return await self._inner.search(search)
+
+    async def run(self, order):
+        """Run an order."""
+        self._answered["order"] += 1
+        return await self._inner.run(order)
