--- a/packages/auburnhollow/src/auburnhollow/peers/tests/test_streams.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/tests/test_streams.py
@@ -181,26 +181,40 @@
     def __init__(self, address):
         self._host, _, self._port = address.rpartition(":")
         self._is_stalled = False
+        self._tasks = []
         self.address = None
         self.count = 0
 
+    async def close(self):
+        """End all connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     def stall_first(self):
         self._is_stalled = True
 
     async def serve(self, reader, writer):
+        self._tasks.append(asyncio.current_task())
         self.count += 1
         number = self.count
         to_reader, to_writer = await asyncio.open_connection(self._host, int(self._port))
         copy_back = asyncio.create_task(self._copy(to_reader, writer, number))
-        await self._copy(reader, to_writer, number)
-        copy_back.cancel()
+        self._tasks.append(copy_back)
+        try:
+            await self._copy(reader, to_writer, number)
+        finally:
+            copy_back.cancel()
+            writer.close()
 
     async def _copy(self, reader, writer, number):
-        while data := await reader.read(65_536):
-            if self._is_stalled and number == 1:
-                await asyncio.Event().wait()
-            writer.write(data)
-        writer.close()
+        try:
+            while data := await reader.read(65_536):
+                if self._is_stalled and number == 1:
+                    await asyncio.Event().wait()
+                writer.write(data)
+        finally:
+            writer.close()
 
 
 @asynccontextmanager
@@ -210,6 +224,7 @@
     proxy.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
     yield proxy
     server.close()
+    await proxy.close()
 
 
 def test_a_server_that_closes_after_the_first_answer_raises_a_peer_error():
