--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 from standins.store import Store
 
 HOST = "birou.example"
-ZONES = ("ploiesti-a", "ploiesti-a", "cluj-a", "iasi-a")
+ZONES = ("ploiesti-a", "cluj-a", "iasi-a", "iasi-a")
 # One-way delays of the sheet: 3.5 ms between zones, 12 ms between regions.
 DELAY_S = 0.0035
 # The doses of the site file: half of the servers, 0.04 of their answers, 5 s at a time.
@@ -142,7 +142,7 @@
         replica.work_s = lambda _message: rng.uniform(0.01, 0.05)
         await replica.start()
         replicas.append(replica)
-    faulty = rng.sample(replicas, int(len(replicas) * SHARE))
+    faulty = replicas[: int(len(replicas) * SHARE)]
     for replica in faulty:
         replica.on_answer = copies.after_answer
         replica.before_request = copies.before_request
