Let virtual time pass while a task is always ready

Cause: a timer is run up to a nanosecond before it is due, and the virtual clock stood still then. A fan-out that waits for a hedge 6e-12 ms ahead woke, saw that it was not due yet, and waited again; with another such fan-out the loop always had something to do, so no time passed any more. A real clock moves on meanwhile. The product waits as before. Change: after 10,000 passes at one moment the virtual clock ticks by a microsecond. Ruled out: a smaller resolution of the loop, which lets timers of less than a float digit stand still all the same.

--- a/standins/src/auburnhollow_standins/virtual.py
+++ b/standins/src/auburnhollow_standins/virtual.py
@@ -6,17 +6,27 @@
 from auburnhollow.clock import MS_PER_SECOND, Clock
 
 FIRST_WALL_MS = 1_800_000_000_000
+# Passes of the loop at one moment before its clock ticks, as a real one does meanwhile.
+MAX_PASSES = 10_000
+TICK_S = 1e-6
 
 
 class _Selector(selectors.SelectSelector):
     """A selector that advances the loop's clock by the timeout instead of waiting."""
 
     loop = None
+    passes = 0
 
     def select(self, timeout=None):
         if timeout is None:
             raise RuntimeError("deadlock: every task is waiting and no timer is set")
+        before_s = self.loop.now_s
         self.loop.now_s += max(0.0, timeout)
+        # A timer may be due in less time than a float of this size can tell.
+        self.passes = self.passes + 1 if self.loop.now_s == before_s else 0
+        if self.passes >= MAX_PASSES:
+            self.passes = 0
+            self.loop.now_s += TICK_S
         return super().select(0)
 
 
