Send a request that reached no server to another one without spending a repeat

Callers of a node that has just started got 503, ran no, after one call to a server that refuses the connection, though another server was free: the budget for repeats is empty then. Cause: every further send was counted as a repeat. A send that ended before anything was written has not arrived, so the next one is the first arrival, which the users' BUDGET does not count either. Change: a subrequest all of whose sends have ended unwritten is sent again without the budget; a hedge beside a call that is still connecting pays as before, and so does what follows a subquery. Bounded as before by attempts plus two sends, and by the servers that are left; a server that refuses is passed over.

--- a/packages/auburnhollow/src/auburnhollow/relay/repeats.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/repeats.py
@@ -54,10 +54,15 @@
         return self._request.limit_ms - self._dispatcher.clock.now_ms() > MIN_CALL_MS
 
     def try_spend(self, subrequest):
-        """Take one repeat from the service's budget; return whether it is allowed."""
+        """Take one repeat from the service's budget; return whether it is allowed.
+
+        Sends that reached no server don't count: the next one is the first that arrives.
+        """
         servers = self._dispatcher.gate.servers_for(self._request, subrequest.service)
         if all(server.id in subrequest.tried for server in servers):
             return False
+        if subrequest.has_reached_no_server:
+            return True
         if self._dispatcher.budget(subrequest.service).try_spend():
             return True
         self._dispatcher.metrics.incr("relay.budget_refusals")
--- a/packages/auburnhollow/src/auburnhollow/relay/subrequests.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/subrequests.py
@@ -95,6 +95,13 @@
         """Whether a server may have run the request."""
         return self.runs > sum(not call.is_written for call in self.calls)
 
+    @property
+    def has_reached_no_server(self):
+        """Whether each send has ended before anything was written to a server."""
+        if self.calls or self.subquery or self.sends > len(self.all_calls):
+            return False
+        return not any(call.is_written for call in self.all_calls)
+
     def was_sent_to(self, server):
         """Return whether a call to the server was made, whatever became of it."""
         return any(call.server.id == server.id for call in self.all_calls)
