Count a store's era 0 apart from a store that names none

Cause: a position of era 0 stood for 'a store that names no era', as builds that know of no eras count. A node that followed era 0 was therefore taken for such a build by a watcher of era 1: it was answered in bare revisions, took them for its own era, and never learned of the return. Change: numbers that a store names count from 1 in positions; 0 is left for stores that name none. Ruled out: a field in the asks, which builds of before can't read, so that their watchers would be of no use. Beside nodes of positions of named eras differ by one: either side refuses or reads anew, as after a return.

--- a/packages/auburnhollow/src/auburnhollow/follow/positions.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/positions.py
@@ -1,7 +1,8 @@
 """Positions in the changes of a store that may come back from an older copy.
 
-The store then gives revisions out again, and its era rises. A position orders changes across eras;
-in the first era, 0, it equals the revision, as builds that know of no eras count.
+The store then gives revisions out again, and its era rises. A position orders changes across eras.
+Era 0 is that of a store that names none; positions then equal revisions, as builds that know of no
+eras count. The numbers that a store names count from 1 here, whichever is its first.
 """
 
 REVISION_BITS = 44
@@ -10,6 +11,11 @@
 MAX_ERA = (1 << (63 - REVISION_BITS)) - 1
 
 
+def era_named(number):
+    """Return the era of a store that names ``number``, 0 or more, as its era."""
+    return number + 1
+
+
 def position_of(era, revision):
     """Return the position of a store revision in an era.
 
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
@@ -29,6 +29,7 @@
 from auburnhollow.follow.positions import (
     MAX_ERA,
     MAX_REVISION,
+    era_named,
     era_of,
     for_asker,
     position_of,
@@ -47,7 +48,7 @@
 SIZES = ((7, 3), (30, 3), (100, 5))
 
 
-def test_a_position_in_the_first_era_is_the_revision():
+def test_a_position_in_a_store_that_names_no_era_is_the_revision():
     assert position_of(0, 17) == 17
 
 
@@ -75,7 +76,7 @@
     assert for_asker(None, asked) is None
 
 
-def play(count, data_centres, seed, restores=1):
+def play(count, data_centres, seed, restores=1, first_era=1):
     """Return the nodes that are behind at the end, and the eras that the nodes know.
 
     The store comes back while some nodes do not reach it; the next configuration is written to a
@@ -85,7 +86,7 @@
     async def run():
         rng = random.Random(seed)
         fleet = Fleet(count, seed, data_centres)
-        fleet.store.era = 1
+        fleet.store.era = first_era
         fleet.start()
         await fleet.clock.sleep(8_000 + rng.uniform(0, 3_000))
         version = 1
@@ -125,6 +126,17 @@
     assert eras == {2}
 
 
+# Guards against askers in a store's era 0 that watchers take for builds that know of no eras.
+@pytest.mark.parametrize("count, data_centres", SIZES)
+@pytest.mark.parametrize("seed", range(4))
+def test_a_change_is_in_force_in_time_in_a_store_that_counts_its_eras_from_zero(
+    count, data_centres, seed
+):
+    behind, eras = play(count, data_centres, seed, first_era=era_named(0))
+    assert behind == []
+    assert eras == {era_named(1)}
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_store_may_come_back_more_than_once(seed):
     behind, eras = play(30, 3, seed, restores=3)
