Notice a return of the store that other nodes have told of first

What callers would see: after the store has come back from a copy, a node drops servers that are live but not in the copy at once, where it should keep them for 2.5 s, and does not write its evidence again. Cause: a return was recognised by comparing with the newest position known, which a state exchange with another node can already have moved into the new era before the node reads the store itself; then nothing seemed to have changed. Change: the era of a view is compared with that of the last view of the node's own feed too. Test: test_a_server_that_the_copy_lacks_is_kept_by_a_node_that_others_told_of_the_return failed before (['old'] in place of ['new', 'old'], on_restored never called). follow/ and the platform's store tests pass.

--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -123,6 +123,7 @@
         "_clock",
         "_confirmed_ms",
         "_feed",
+        "_followed_revision",
         "_incomplete_count",
         "_is_checking",
         "_is_reachable",
@@ -162,6 +163,7 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics or Metrics()
+        self._followed_revision = None
         self._incomplete_count = 0
         self._is_checking = False
         self._is_watch_stale = False
@@ -364,6 +366,9 @@
 
     def _is_restored(self, view):
         """Return whether the store has come back from an older copy since the last view."""
+        followed = self._followed_revision
+        if followed is not None and era_of(view.revision) > era_of(followed):
+            return True
         newest = self._newest_revision
         if newest is None or view.revision >= newest and era_of(view.revision) == era_of(newest):
             return False
@@ -417,6 +422,7 @@
     def _set_revision(self, revision):
         is_newer = self._revision is None or revision > self._revision
         self._revision = revision
+        self._followed_revision = revision
         self._set_newest(revision)
         if is_newer and self.on_revision is not None:
             self.on_revision(revision)
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
@@ -300,6 +300,31 @@
     assert run_virtually(run()) == ((["own"], 1), ["new", "own"])
 
 
+# Guards against a return that a node has heard of from others before it reads the store itself.
+def test_a_server_that_the_copy_lacks_is_kept_by_a_node_that_others_told_of_the_return():
+    async def run():
+        clock = VirtualClock()
+        store = InMemoryStore(clock)
+        store.era = 1
+        store.updates += [ServerUpdate(server=make_server(name)) for name in ("old", "new")]
+        peers = FixedPeer({StateAsk: state_answer(position_of(2, 2), "old", version=2)})
+        registry = ServerRegistry(clock)
+        follower = Follower(store.client("a"), registry, clock, random.Random(1))
+        restored = []
+        follower.on_restored = lambda: restored.append(clock.now_ms())
+        task = asyncio.create_task(follower.run())
+        await clock.sleep(4_000)
+        exchange = StateExchange(follower, peers, lambda: ["other"], random.Random(1), clock)
+        await exchange.catch_up("other", 2)
+        store.restore(2)
+        await clock.sleep(REREGISTRATION_MS / 2)
+        kept = sorted(server.id for server in registry.usable(make_server("old").service))
+        task.cancel()
+        return kept, len(restored), follower.newest_revision
+
+    assert run_virtually(run()) == (["new", "old"], 1, position_of(2, 2))
+
+
 def test_an_evacuation_that_the_copy_lacks_holds_until_it_can_be_written_again():
     async def run():
         clock = VirtualClock()
