Hear what a server says of itself in the head of an answer that is cut off

Cause: the notice of an answer was read after its body, so that an answer without its end said nothing. Change: the notice is read with the head, and goes with the error of a lost connection. Test: test_a_replica_that_says_that_it_leaves_gets_no_new_requests[cut body-...] failed before (both cases, the replica stayed usable in the registry); it now checks the registry as well as what the replicas got. [rejection] (404) held before. Not changed: an answer cancelled after its head, as for a hedge that lost, is heard only if it ends within 350 ms.

--- a/packages/auburnhollow/src/auburnhollow/relay/fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/fanout.py
@@ -396,7 +396,9 @@
         except asyncio.CancelledError:
             self._outcomes.cancelled(call)
             raise
-        return error if is_dead else BackendCut(f"{error}; no other server is reached")
+        if is_dead:
+            return error
+        return BackendCut(f"{error}; no other server is reached", notice=error.notice)
 
     async def _wait_for_turn(self, call, wait_ms):
         """Wait for this node's turn at the server of a call.
