Pass on no servers whose entry is missing

What callers would see: in a fleet of more than 12 nodes, servers that ended while the store was away, or that its copy lacks, go on getting requests from most nodes for good, though the store says that they are gone (DRAIN, and 502 for those that have ended). Cause: a node keeps a server whose entry is missing after an outage or a return for 2.5 s. A node that read the whole state from it in that time took those servers for registered, and no change ever told it that they were dropped. Change: the state given to others leaves out servers whose entry is missing. Each node keeps those that it knows itself by its own clock, as it does when it reads the store. Ruled out: a digest of the servers, which nodes that keep a missing entry for different times would never agree on. A node that starts in these 2.5 s does not know a live server until its next registration, two seconds at most.

--- a/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
@@ -143,7 +143,9 @@
         is_recent = self._cached is not None and now_ms - self._cached_ms < CACHE_MS
         if not is_recent or not _is_newer(self._cached[0], known_revision):
             follower = self._follower
-            self._cached = (follower.change_log.revision, pack_servers(follower.registry.servers))
+            # Each node keeps servers whose entry is missing for a while, by its own clock.
+            servers = follower.registry.registered
+            self._cached = (follower.change_log.revision, pack_servers(servers))
             self._cached_ms = now_ms
         return self._cached
 
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
@@ -25,6 +25,7 @@
     pack_servers,
     pack_table,
     pack_update,
+    unpack_servers,
 )
 from auburnhollow.follow.positions import (
     MAX_ERA,
@@ -36,6 +37,7 @@
     revision_of,
 )
 from auburnhollow.follow.sharing import MAX_DIRECT_NODES
+from auburnhollow.follow.state_exchange import CACHE_MS
 from auburnhollow.peers import Peers
 from auburnhollow.servers import ServerRegistry
 from auburnhollow.servers.registry import REREGISTRATION_MS
@@ -79,6 +81,8 @@
 def play(count, data_centres, seed, restores=1, first_era=1):
     """Return the nodes that are behind at the end, and the eras that the nodes know.
 
+    All nodes must know the servers in the store then, and no others.
+
     The store comes back while some nodes do not reach it; the next configuration is written to a
     revision that the nodes have seen. Nodes that reach the store must have it in time.
     """
@@ -112,10 +116,21 @@
             await fleet.clock.sleep(6_000)
         eras = {era_of(follower.newest_revision) for follower in fleet.followers.values()}
         behind = fleet.behind(version)
+        stored = {
+            update.server.id for update in fleet.store.updates if isinstance(update, ServerUpdate)
+        }
+        for name, follower in fleet.followers.items():
+            service = make_server("any").service
+            known = {server.id for server in follower.registry.usable(service)}
+            if known != stored:
+                differing[name] = known ^ stored
         await fleet.stop()
         return behind, eras
 
-    return run_virtually(run())
+    differing = {}
+    behind, eras = run_virtually(run())
+    assert differing == {}
+    return behind, eras
 
 
 @pytest.mark.parametrize("count, data_centres", SIZES)
@@ -325,6 +340,32 @@
     assert run_virtually(run()) == (["new", "old"], 1, position_of(2, 2))
 
 
+# Guards against servers that a node is about to drop, and that others then keep for good.
+def test_a_node_does_not_pass_on_servers_whose_entry_is_missing():
+    async def run():
+        clock = VirtualClock()
+        store = InMemoryStore(clock)
+        store.era = 1
+        store.updates += [ServerUpdate(server=make_server(name)) for name in ("kept", "gone")]
+        registry = ServerRegistry(clock)
+        follower = Follower(store.client("a"), registry, clock, random.Random(1))
+        await follower.step()
+        exchange = StateExchange(follower, None, list, random.Random(1), clock)
+        before = await exchange.answer(StateAsk(version=0, revision=NO_REVISION))
+        store.restore(2)
+        await follower.step()
+        await follower.step()
+        await clock.sleep(CACHE_MS)
+        after = await exchange.answer(StateAsk(version=0, revision=NO_REVISION))
+        usable = sorted(server.id for server in registry.usable(make_server("kept").service))
+        told = [
+            [server.id for server in unpack_servers(answer.servers)] for answer in (before, after)
+        ]
+        return told, usable
+
+    assert run_virtually(run()) == ([["kept", "gone"], ["kept"]], ["gone", "kept"])
+
+
 def test_an_evacuation_that_the_copy_lacks_holds_until_it_can_be_written_again():
     async def run():
         clock = VirtualClock()
--- a/packages/auburnhollow/src/auburnhollow/servers/registry.py
+++ b/packages/auburnhollow/src/auburnhollow/servers/registry.py
@@ -111,6 +111,11 @@
         """All known servers, in any state."""
         return list(self._by_id.values())
 
+    @property
+    def registered(self):
+        """The known servers, in any state, whose entry has not gone missing."""
+        return [server for server in self._by_id.values() if server.id not in self._missing]
+
     def usable(self, service):
         """Return the servers of a service that may get new requests; do not modify the list."""
         if self._missing:
