Name what the plays of eras and frozen nodes compare

No check, bound or seed is changed: the comparison of servers is a function of its own, two names say what they hold.

--- a/packages/auburnhollow-node/tests/test_frozen_nodes.py
+++ b/packages/auburnhollow-node/tests/test_frozen_nodes.py
@@ -31,7 +31,6 @@
             fleet.world.cut(list(cut), HANG)
             ended = []
             tasks = []
-            frozen = set()
 
             async def send(node, path, number):
                 sent_ms = fleet.clock.now_ms()
@@ -75,6 +74,6 @@
     ]
     assert late == []
     failed = [result for _, _, result in ended if isinstance(result, QueryError)]
-    orders = [each for each in failed if each.ran is Ran.NO]
-    assert [each.request for each in orders if runs[each.request]] == []
+    refused = [each.request for each in failed if each.ran is Ran.NO]
+    assert [request for request in refused if runs[request]] == []
     assert len(failed) < 0.5 * len(ended)
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
@@ -81,10 +81,9 @@
 def play(count, data_centres, seed, restores=1, first_era=1):
     """Return the nodes that are behind at the end, and the eras that the nodes know.
 
-    All nodes must know the servers in the store then, and no others.
-
     The store comes back while some nodes do not reach it; the next configuration is written to a
-    revision that the nodes have seen. Nodes that reach the store must have it in time.
+    revision that the nodes have seen. Nodes that reach the store must have it in time. At the end
+    all nodes must know the servers in the store and no others.
     """
 
     async def run():
@@ -116,21 +115,26 @@
             await fleet.clock.sleep(6_000)
         eras = {era_of(follower.newest_revision) for follower in fleet.followers.values()}
         behind = fleet.behind(version)
-        stored = {
-            update.server.id for update in fleet.store.updates if isinstance(update, ServerUpdate)
-        }
-        for name, follower in fleet.followers.items():
-            service = make_server("any").service
-            known = {server.id for server in follower.registry.usable(service)}
-            if known != stored:
-                differing[name] = known ^ stored
+        assert servers_that_differ(fleet) == {}
         await fleet.stop()
         return behind, eras
 
-    differing = {}
-    behind, eras = run_virtually(run())
-    assert differing == {}
-    return behind, eras
+    return run_virtually(run())
+
+
+def servers_that_differ(fleet):
+    """Return, by node, the servers that either the node or the store does not know."""
+    stored = set()
+    for update in fleet.store.updates:
+        if isinstance(update, ServerUpdate):
+            stored.add(update.server.id)
+    service = make_server("any").service
+    found = {}
+    for name, follower in fleet.followers.items():
+        known = {server.id for server in follower.registry.usable(service)}
+        if known != stored:
+            found[name] = known ^ stored
+    return found
 
 
 @pytest.mark.parametrize("count, data_centres", SIZES)
