--- a/packages/auburnhollow-node/tests/test_silent_helpers.py
+++ b/packages/auburnhollow-node/tests/test_silent_helpers.py
@@ -47,6 +47,7 @@
     return run_virtually(scenario())
 
 
+# Guards against requests that wait for a frozen helper beyond their time limit.
 @pytest.mark.parametrize("path", list(TIME_LIMITS_MS))
 @pytest.mark.parametrize("silent_after_ms", [0.0, 100.0])
 def test_a_request_ends_in_time_at_the_node_that_took_it(path, silent_after_ms):
--- a/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
+++ b/packages/auburnhollow/src/auburnhollow/relay/tests/test_fanout.py
@@ -407,6 +407,7 @@
     assert len(whole) >= 0.9 * len(late)
 
 
+# Guards against 503 at a node that has just started, though another server is free.
 @pytest.mark.parametrize("repeatable", [True, False])
 def test_a_request_that_reached_no_server_is_sent_to_another_without_a_budget(repeatable):
     async def scenario():
