Try builds that count a store's eras from 0 and from 1 beside each other

In virtual time, 7, 30 and 100 nodes, half and two thirds of them of the build before, a store that starts at either era and comes back from a copy once: each version in force within 3 s at all nodes, and all know the store's servers at the end. Processes of two builds were not played.

--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_eras.py
@@ -44,7 +44,7 @@
 from auburnhollow_standins.fake_servers import make_server
 from auburnhollow_standins.virtual import VirtualClock, run_virtually
 
-from .test_sharing import FakeMembership, Fleet, InMemoryStore, make_table
+from .test_sharing import FakeMembership, Fleet, InMemoryStore, StoreClient, make_table
 
 APPLY_MS = 3_000.0
 SIZES = ((7, 3), (30, 3), (100, 5))
@@ -203,6 +203,50 @@
     assert run_virtually(run()) == []
 
 
+class EarlierClient(StoreClient):
+    """The store as builds of before ``era_named`` see it: each era is one lower."""
+
+    async def read(self):
+        return self._shift(await super().read())
+
+    async def changes(self, revision, wait_ms):
+        revision = position_of(era_of(revision) + 1, revision_of(revision))
+        return self._shift(await super().changes(revision, wait_ms))
+
+    def _shift(self, view):
+        view.revision = position_of(era_of(view.revision) - 1, revision_of(view.revision))
+        return view
+
+
+@pytest.mark.parametrize("count, data_centres", SIZES)
+@pytest.mark.parametrize("first_era", [1, 2])
+@pytest.mark.parametrize("every", [2, 3])
+def test_builds_that_count_eras_from_zero_and_from_one_follow_the_same_store(
+    count, data_centres, first_era, every
+):
+    async def run():
+        fleet = Fleet(count, 1, data_centres)
+        fleet.store.era = first_era
+        for number, (name, feed) in enumerate(fleet.feeds.items()):
+            if number % every:
+                feed._store = EarlierClient(fleet.store, name)
+        fleet.start()
+        await fleet.clock.sleep(9_000)
+        for version in range(2, 6):
+            if version == 5:
+                fleet.store.restore(len(fleet.store.updates) - 1)
+            fleet.store.updates.append(ServerUpdate(server=make_server(f"i-{version}")))
+            fleet.store.updates.append(ConfigurationUpdate(table=make_table(version)))
+            await fleet.clock.sleep(APPLY_MS)
+            assert fleet.behind(version) == []
+        await fleet.clock.sleep(2 * REREGISTRATION_MS)
+        differing = servers_that_differ(fleet)
+        await fleet.stop()
+        return differing
+
+    assert run_virtually(run()) == {}
+
+
 def test_a_node_of_a_build_that_knows_of_no_eras_can_ask_a_watcher():
     async def run():
         fleet = Fleet(MAX_DIRECT_NODES + 1, 1, 1)
