--- a/packages/auburnhollow-node/tests/test_missed_changes.py
+++ b/packages/auburnhollow-node/tests/test_missed_changes.py
@@ -9,6 +9,8 @@
 from auburnhollow_standins.virtual_relays import ONCE, running_relays
 
 APPLY_MS = 3_000.0
+# The time within which an accepted configuration is in force, whatever has missed it.
+SEEN_BY_NOBODY_MS = 5_000.0
 LIMITS = FrontLimits(header_bytes=8_192, body_bytes=65_536, header_ms=5_000, idle_ms=30_000)
 
 
@@ -18,15 +20,15 @@
     return ConfigurationUpdate(table=table)
 
 
-def versions_after_a_change(deaf, count=7, version=9):
-    """Return the versions in force at all nodes, ``APPLY_MS`` after a change that some miss."""
+def versions_after_a_change(deaf, count=7, version=9, apply_ms=APPLY_MS):
+    """Return the versions in force at all nodes, ``apply_ms`` after a change that some miss."""
 
     async def scenario():
         async with running_relays(count=count) as fleet:
             fleet.content.deaf.update(deaf)
             await fleet.clock.sleep(6_000.0)
             fleet.content.later.append(make_update(version))
-            await fleet.clock.sleep(APPLY_MS)
+            await fleet.clock.sleep(apply_ms)
             return {name: node.routes.version for name, node in fleet.nodes.items()}
 
     return run_virtually(scenario())
@@ -43,6 +45,13 @@
     assert set(versions.values()) == {9}
 
 
+@pytest.mark.parametrize("count", [1, 7, 16])
+def test_a_configuration_that_no_watch_delivers_is_taken_from_the_store(count):
+    names = [f"node-{number}" for number in range(count)]
+    versions = versions_after_a_change(names, count=count, apply_ms=SEEN_BY_NOBODY_MS)
+    assert set(versions.values()) == {9}
+
+
 def test_a_version_that_no_node_can_deliver_is_asked_for_a_few_times_only():
     async def scenario():
         async with running_relays() as fleet:
