Compare the configuration in force with the store's, whatever the watches have delivered

Callers saw: requests handled by the version before, at a part of the fleet or at all of it, long after a change was acknowledged, and no node knew that it lacked anything.

Cause: a watch says that nothing is left after a position, and what came before it counts as delivered.

A version that the watch has passed over is put in force, told to other nodes, and everything is read again; one that the watch has yet to reach is waited for once.

Ten more cases of the comparison itself.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -10,7 +10,13 @@
 from auburnhollow.decisions import log_decision
 from auburnhollow.events import Recorder
 from auburnhollow.exceptions import NoRoute, NotReady, PeerError, QueryError, TooLarge
-from auburnhollow.follow import ChangeServer, Follower, SharedFeed, StateExchange
+from auburnhollow.follow import (
+    ChangeServer,
+    Follower,
+    SharedFeed,
+    StateExchange,
+    StoreComparison,
+)
 from auburnhollow.follow.messages import ChangesAsk, StateAsk
 from auburnhollow.follow.revision_gossip import RevisionGossip
 from auburnhollow.follow.sharing import MAX_DIRECT_NODES
@@ -77,6 +83,7 @@
     """
 
     __slots__ = (
+        "_comparison",
         "_delegation",
         "_delegation_server",
         "_evidence_saver",
@@ -188,6 +195,9 @@
             self.metrics,
             self.gate.evacuations,
         )
+        self._comparison = StoreComparison(
+            self.follower, shared, self.clock, self._random, self.metrics
+        )
         self.entrance.follower = self.follower
         self.follower.on_evidence = self.quarantine.restore
         if settings.strict_revoke:
@@ -252,6 +262,7 @@
         :param peer_socket: socket bound to the peer address; ``None`` for a node without one.
         """
         self._start_task(self.follower.run)
+        self._start_task(self._comparison.run)
         self._start_task(self._lag.run)
         if self._evidence_saver is not None:
             self._start_task(self._evidence_saver.run)
--- a/packages/auburnhollow/src/auburnhollow/follow/__init__.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/__init__.py
@@ -1,5 +1,6 @@
 """Follows the routes and backend servers in the platform's store, directly or through peers."""
 
+from .comparison import StoreComparison
 from .feed import (
     ConfigurationUpdate,
     EvacuationEnd,
@@ -29,6 +30,7 @@
     "ServerRemoval",
     "ServerUpdate",
     "SharedFeed",
+    "StoreComparison",
     "StoreView",
     "UnreadableEntry",
 ]
--- a/packages/auburnhollow/src/auburnhollow/follow/feed.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/feed.py
@@ -11,10 +11,12 @@
 class ConfigurationUpdate(Record):
     """The operators' configuration as read from the store.
 
-    ``table`` is a :class:`~auburnhollow.routes.RouteTable`.
+    ``table`` is a :class:`~auburnhollow.routes.RouteTable`. ``position`` is that of the entry;
+    ``None`` if it was delivered.
     """
 
-    __slots__ = ("table",)
+    __slots__ = ("table", "position")
+    DEFAULTS = {"position": None}
 
 
 class ServerUpdate(Record):
@@ -85,6 +87,13 @@
         """Return a :class:`StoreView` of the store's current content."""
         raise NotImplementedError
 
+    async def undelivered_configuration(self):
+        """Return the store's configuration if it is not the last one delivered here.
+
+        :returns: a :class:`ConfigurationUpdate` or ``None``.
+        """
+        raise NotImplementedError
+
     async def changes(self, revision, wait_ms):
         """Return a :class:`StoreView` of the changes after ``revision``.
 
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -127,6 +127,7 @@
         "_incomplete_count",
         "_is_checking",
         "_is_reachable",
+        "_is_reread_due",
         "_is_watch_stale",
         "_metrics",
         "_newest_revision",
@@ -168,6 +169,7 @@
         self._is_checking = False
         self._is_watch_stale = False
         self._is_reachable = None
+        self._is_reread_due = False
         self._newest_revision = None
         self._reread_ms = None
         self._revision = None
@@ -260,6 +262,32 @@
             self.registry.put(server)
         self._set_newest(revision)
 
+    def take_undelivered(self, update):
+        """Put a :class:`ConfigurationUpdate` that was not delivered in force, and tell of it.
+
+        :returns: whether it is newer than the configuration in force.
+        """
+        if self._routes is not None and update.table.version <= self._routes.version:
+            return False
+        self.apply_routes(update.table)
+        if self.on_version is not None:
+            self.on_version(update.table.version, update.position)
+        return True
+
+    def has_passed(self, position):
+        """Return whether the watch has delivered the changes up to a position, as far as it says.
+
+        :param position: as of :mod:`~auburnhollow.follow.positions`.
+        """
+        return self._revision is not None and self._revision >= position
+
+    def read_again(self):
+        """Read the whole store now, since the watch may have missed changes."""
+        self._is_reread_due = True
+        if self._watch_task is not None:
+            self._is_watch_stale = True
+            self._watch_task.cancel()
+
     def on_peer_revision(self, revision):
         """Handle the report that another node has received ``revision`` from the store.
 
@@ -296,12 +324,13 @@
 
         :raises StoreUnavailable: when the store does not answer.
         """
-        if self._revision is None:
+        if self._revision is None or self._is_reread_due:
             await self._read()
         else:
             await self._follow()
 
     async def _read(self):
+        self._is_reread_due = False
         self._metrics.incr("store.reads")
         view = await self._feed.read()
         is_restored = self._is_restored(view)
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -28,6 +28,8 @@
 # independent of each other.
 MAX_DIRECT_NODES = 12
 WATCHERS = 5
+# In smaller fleets, so many nodes compare their configuration with the store's; else all watchers.
+COMPARING_NODES = 3
 RANKING_KEY = "store"
 MAX_KEPT_CHANGES = 400
 # The longest time for which a node relies on others without the store's confirmation. Then it asks
@@ -199,6 +201,12 @@
             view = await self._store.changes(revision, wait_ms)
         return self._received(view)
 
+    async def undelivered_configuration(self):
+        """Return the store's configuration if it was not delivered; only some nodes compare."""
+        if not self._compares():
+            return None
+        return await self._store.undelivered_configuration()
+
     async def _read_from(self, address, timeout_ms):
         """Return a watcher's state, or ``None`` when it has no fresh state or does not answer."""
         ask = StateAsk(
@@ -329,6 +337,13 @@
     def _fleet_has_watchers(self):
         return len(self._membership.answering()) > MAX_DIRECT_NODES
 
+    def _compares(self):
+        """Return whether this node compares its configuration with the store's."""
+        if self._fleet_has_watchers():
+            return self._watchers() is None
+        top_ranked = ranked(RANKING_KEY, self._membership.answering())[:COMPARING_NODES]
+        return self._membership.me.id in top_ranked
+
     def _ranks_first(self):
         """Return whether this node ranks first in a fleet where every node watches the store.
 
--- /dev/null
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_comparison.py
@@ -0,0 +1,159 @@
+"""Comparison of the configuration in force with the store's."""
+
+import asyncio
+import random
+
+import pytest
+
+from auburnhollow.exceptions import StoreUnavailable
+from auburnhollow.follow import (
+    ConfigurationUpdate,
+    Feed,
+    Follower,
+    ServerUpdate,
+    SharedFeed,
+    StoreComparison,
+    StoreView,
+)
+from auburnhollow.follow.comparison import INTERVAL_MS, JITTER
+from auburnhollow.follow.sharing import COMPARING_NODES, MAX_DIRECT_NODES
+from auburnhollow.metrics import Metrics
+from auburnhollow.servers import ServerRegistry
+from auburnhollow_standins.fake_servers import make_server
+from auburnhollow_standins.virtual import VirtualClock, run_virtually
+
+from .test_sharing import FakeMembership, make_table
+
+LONGEST_MS = INTERVAL_MS * (1 + JITTER)
+
+
+class DeafFeed(Feed):
+    """A store whose watches are silent, end at ``revision``, and deliver ``delivered`` once."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.newest = ConfigurationUpdate(table=make_table(1), position=1)
+        self.servers = []
+        self.revision = 1
+        self.delivered = []
+        self.reads = 0
+        self.compared = 0
+        self.is_down = False
+
+    async def read(self):
+        self.reads += 1
+        updates = [ConfigurationUpdate(table=self.newest.table)]
+        updates += [ServerUpdate(server=make_server(name)) for name in self.servers]
+        return StoreView(updates=updates, revision=self.revision)
+
+    async def undelivered_configuration(self):
+        self.compared += 1
+        if self.is_down:
+            raise StoreUnavailable("down")
+        return self.newest
+
+    async def changes(self, revision, wait_ms):
+        await self.clock.sleep(wait_ms)
+        updates, self.delivered = self.delivered, []
+        return StoreView(updates=updates, revision=max(revision, self.revision))
+
+
+def play(scenario):
+    """Run a scenario beside a follower and its comparison, which have run for a second."""
+
+    async def run():
+        clock = VirtualClock()
+        feed = DeafFeed(clock)
+        follower = Follower(feed, ServerRegistry(clock), clock, random.Random(1))
+        told = []
+        follower.on_version = lambda version, position: told.append((version, position))
+        comparison = StoreComparison(follower, feed, clock, random.Random(2), Metrics())
+        tasks = [asyncio.create_task(each.run()) for each in (follower, comparison)]
+        await clock.sleep(1_000)
+        try:
+            return await scenario(feed, follower, told)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    return run_virtually(run())
+
+
+def test_a_configuration_that_the_watch_has_passed_over_is_in_force_and_told_of():
+    async def scenario(feed, follower, told):
+        feed.newest = ConfigurationUpdate(table=make_table(5), position=1)
+        await feed.clock.sleep(LONGEST_MS)
+        return follower.routes.version, told[-1]
+
+    assert play(scenario) == (5, (5, 1))
+
+
+def test_servers_that_a_watch_missed_beside_a_configuration_are_known():
+    async def scenario(feed, follower, _told):
+        feed.newest = ConfigurationUpdate(table=make_table(5), position=1)
+        feed.servers = ["missed"]
+        await feed.clock.sleep(LONGEST_MS + 10)
+        return [server.id for server in follower.registry.servers], feed.reads
+
+    assert play(scenario) == (["missed"], 2)
+
+
+def test_a_watch_that_delivers_a_little_later_than_the_comparison_is_not_read_again():
+    async def scenario(feed, follower, _told):
+        feed.newest = ConfigurationUpdate(table=make_table(5), position=2)
+        feed.revision = 2
+        feed.delivered = [ConfigurationUpdate(table=feed.newest.table)]
+        await feed.clock.sleep(4 * LONGEST_MS)
+        return follower.routes.version, feed.reads
+
+    assert play(scenario) == (5, 1)
+
+
+def test_a_watch_that_never_reaches_a_configuration_is_read_again():
+    async def scenario(feed, follower, _told):
+        feed.newest = ConfigurationUpdate(table=make_table(5), position=2)
+        await feed.clock.sleep(2 * LONGEST_MS + 10)
+        return follower.routes.version, feed.reads
+
+    assert play(scenario) == (5, 2)
+
+
+def test_a_store_with_an_older_configuration_changes_nothing():
+    async def scenario(feed, follower, _told):
+        feed.newest = ConfigurationUpdate(table=make_table(0), position=9)
+        await feed.clock.sleep(4 * LONGEST_MS)
+        return follower.routes.version, feed.reads
+
+    assert play(scenario) == (1, 1)
+
+
+def test_a_store_that_does_not_answer_is_compared_again():
+    async def scenario(feed, follower, _told):
+        feed.newest = ConfigurationUpdate(table=make_table(5), position=1)
+        feed.is_down = True
+        await feed.clock.sleep(3 * LONGEST_MS)
+        before = follower.routes.version
+        feed.is_down = False
+        await feed.clock.sleep(LONGEST_MS)
+        return before, follower.routes.version
+
+    assert play(scenario) == (1, 5)
+
+
+@pytest.mark.parametrize(
+    "count, expected", [(1, 1), (MAX_DIRECT_NODES, COMPARING_NODES), (60, 5), (122, 5)]
+)
+def test_few_nodes_compare_however_many_there_are(count, expected):
+    async def run():
+        clock = VirtualClock()
+        names = [f"node-{number}" for number in range(count)]
+        comparing = 0
+        for name in names:
+            store = DeafFeed(clock)
+            members = FakeMembership(names, name, 5)
+            feed = SharedFeed(store, None, members, clock, random.Random(1))
+            await feed.undelivered_configuration()
+            comparing += store.compared
+        return comparing
+
+    assert run_virtually(run()) == expected
--- a/standins/src/auburnhollow_standins/virtual_relays.py
+++ b/standins/src/auburnhollow_standins/virtual_relays.py
@@ -199,6 +199,15 @@
         updates = [] if is_deaf else content.later[revision - 1 :]
         return StoreView(updates=updates, revision=1 + len(content.later))
 
+    async def undelivered_configuration(self):
+        """Return the newest configuration, whether it was delivered or not."""
+        await self._clock.sleep(4.0)
+        updates = self._content.first[:1] + self._content.later
+        for number, update in reversed(list(enumerate(updates))):
+            if isinstance(update, ConfigurationUpdate):
+                return ConfigurationUpdate(table=update.table, position=1 + number)
+        return None
+
 
 class RelayFleet:
     """Relay nodes on simulated links.
