Tell at each change of the configuration its position and how long it was known of

'configuration in force' names the version and its source, not the position that the node follows, and not whether the node had heard of the version from others before.

Change: Follower.in_force keeps the version in force, since when, through whom, the position of the newest answer, and the newest version that other nodes told of, one entry. The line has era, revision and heard_ms besides. Nothing is computed for a request.

--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -20,6 +20,7 @@
     ServerUpdate,
     UnreadableEntry,
 )
+from .in_force import InForce, rounded
 from .positions import era_of
 from .sharing import ChangeLog
 
@@ -105,7 +106,8 @@
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
     :param evacuations: :class:`~auburnhollow.gate.Evacuations`.
 
-    ``change_log`` is the :class:`ChangeLog` served to other nodes. ``first_read_done`` is an event
+    ``in_force`` is the :class:`~auburnhollow.follow.in_force.InForce` of this node, ``change_log``
+    the :class:`ChangeLog` served to other nodes. ``first_read_done`` is an event
     set once the first read has succeeded or failed. ``ask_peers`` is a coroutine function called
     after each failed call to the store, to fetch state from other nodes. ``on_revision`` is a
     callback that receives each newer store revision; it lets other nodes call
@@ -140,6 +142,7 @@
         "change_log",
         "evacuations",
         "first_read_done",
+        "in_force",
         "on_evidence",
         "on_restored",
         "on_revision",
@@ -178,6 +181,7 @@
         self.registry = registry
         self.evacuations = Evacuations(clock) if evacuations is None else evacuations
         self.change_log = ChangeLog()
+        self.in_force = InForce(clock)
         self.ask_peers = None
         self.first_read_done = asyncio.Event()
         self.on_routes = on_routes
@@ -229,14 +233,19 @@
         if known is not None:
             table.take_over(known)
         self._routes = table
+        through = through or getattr(self._feed, "through", None)
+        heard_ms = self.in_force.begin(table.version, through)
         log_decision(
             log,
             "configuration in force",
             version=table.version,
             before=None if known is None else known.version,
             routes=len(table.routes),
-            through=through or getattr(self._feed, "through", None),
+            through=through,
             unconfirmed_ms=self._unconfirmed_ms,
+            heard_ms=rounded(heard_ms),
+            era=self.in_force.era,
+            revision=self.in_force.revision,
         )
         if self.on_routes is not None:
             self.on_routes(table)
@@ -466,6 +475,7 @@
 
     def _on_store_reached(self, view):
         self._is_checking = False
+        self.in_force.position = view.revision
         if view.age_ms is not None:
             self._on_confirmed(self._clock.now_ms() - view.age_ms)
         if self._is_reachable:
--- a/packages/auburnhollow/src/auburnhollow/follow/positions.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/positions.py
@@ -16,6 +16,12 @@
     return number + 1
 
 
+def named_era(position):
+    """Return the number by which the store names the era of a position, ``None`` if it does not."""
+    era = era_of(position)
+    return era - 1 if era else None
+
+
 def position_of(era, revision):
     """Return the position of a store revision in an era.
 
--- a/packages/auburnhollow/src/auburnhollow/follow/version_gossip.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/version_gossip.py
@@ -58,7 +58,10 @@
 
     def _on_entry(self, entry):
         (address,) = entry.value
-        if not self._is_missed(entry.version, int(entry.key)):
+        era = int(entry.key)
+        if address != self._address:
+            self._follower.in_force.hear(entry.version, era)
+        if not self._is_missed(entry.version, era):
             return
         loop = asyncio.get_running_loop()
         loop.call_later(GRACE_MS / MS_PER_SECOND, self._start_fetch, entry, address)
