Say in each refusal by the configuration what the node knows of it

Age and source of the version and what others had were not there at all.

Change: 'request failed' with no-route, not-ready or unauthorized holds version, heard_version, era, revision, in_force_ms, through and store_age_ms, right after the code. Other lines keep their fields; their version comes earlier. The answer to the caller is unchanged.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -116,7 +116,7 @@
         self._in_progress = 0
         self.last_requests = LastRequests(self.clock, self._random)
         self._lag = LoopLag(self.clock)
-        self._request_log = RequestLog(self.clock, self.metrics)
+        self._request_log = RequestLog(self.clock, self.metrics, self.standing)
         self.count_connections = None
         self.registry = ServerRegistry(self.clock)
         self.peers = peers or PeerClient(self.metrics, self.clock)
@@ -328,6 +328,10 @@
         self._request_log.answered(request, route, answer, self._version)
         return answer
 
+    def standing(self):
+        """Return what this node knows of its configuration, as log fields."""
+        return self.follower.in_force.to_map(self.follower.age_ms)
+
     def gauges(self):
         """Return the current values of the gauges, by name."""
         return {
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/request_log.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/request_log.py
@@ -4,11 +4,14 @@
 import math
 
 from auburnhollow.decisions import log_decision
+from auburnhollow.exceptions import NoRoute, NotReady, Unauthorized
 from auburnhollow.relay import Merged
 
 log = logging.getLogger("node")
 
 SERVER_ERROR_STATUS = 500
+# A node with another configuration might have answered.
+CONFIGURATION_REFUSALS = (NoRoute, NotReady, Unauthorized)
 
 
 class RequestLog:
@@ -16,13 +19,16 @@
 
     :param clock: :class:`~auburnhollow.clock.Clock`.
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
+    :param standing: function that returns what the node knows of its configuration, as log fields;
+        called for requests that the configuration refuses.
     """
 
-    __slots__ = ("_clock", "_metrics")
+    __slots__ = ("_clock", "_metrics", "_standing")
 
-    def __init__(self, clock, metrics):
+    def __init__(self, clock, metrics, standing):
         self._clock = clock
         self._metrics = metrics
+        self._standing = standing
 
     def answered(self, request, route, answer, version):
         """Record an answer.
@@ -61,20 +67,23 @@
         self._metrics.incr(f"front.{error.code}")
         self._count(route, error.code)
         now_ms = self._clock.now_ms()
+        standing = {"version": version}
+        if isinstance(error, CONFIGURATION_REFUSALS):
+            standing = self._standing()
         log_decision(
             log,
             "request failed",
             request.id,
             level=logging.WARNING,
-            route=getattr(route, "name", None),
             code=error.code,
+            **standing,
+            route=getattr(route, "name", None),
             ran=error.ran,
             account=request.account,
             detail=error.detail,
             retry_after_ms=error.retry_after_ms,
             age_ms=round(now_ms - request.received_ms),
             left_ms=_round_finite(request.limit_ms - now_ms),
-            version=version,
         )
 
     def _count(self, route, outcome):
