Show position, age and newest version heard of as gauges and to the readiness check

Cause: which nodes of a fleet follow which era and revision, and which miss a version that others have, could be read from no metric, and the readiness check had no body.

Change: gauges node.configuration_age_ms, node.configuration_heard, node.followed_era and node.followed_revision; the readiness check answers ready, version, heard_version, era, revision, in_force_ms, through and store_age_ms as JSON. Its status is as before.

--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/admin.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/admin.py
@@ -32,7 +32,8 @@
     """Return status, content type and body."""
     path = scope["path"]
     if path == ready_path:
-        return (200 if node.is_ready else 503), b"text/plain", b""
+        document = {"ready": node.is_ready, **node.standing()}
+        return (200 if node.is_ready else 503), b"application/json", orjson.dumps(document)
     if path == METRICS_PATH:
         return 200, b"text/plain", exposition(node.metrics, node.gauges())
     if path == STATUS_PATH:
--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -334,10 +334,15 @@
 
     def gauges(self):
         """Return the current values of the gauges, by name."""
+        in_force = self.follower.in_force
         return {
             "node.in_progress": self._in_progress,
             "node.is_ready": int(self.is_ready),
             "node.configuration_version": self._version,
+            "node.configuration_age_ms": in_force.age_ms,
+            "node.configuration_heard": in_force.heard_version,
+            "node.followed_era": in_force.era,
+            "node.followed_revision": in_force.revision,
             "node.store_age_ms": self.follower.age_ms,
             "node.store_reachable": int(bool(self.follower.is_reachable)),
             "node.servers": len(self.registry),
