--- a/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
+++ b/packages/auburnhollow-operator/src/auburnhollow_operator/commands.py
@@ -30,7 +30,15 @@
 )
 from auburnhollow_node.relay.settings import check_settings
 
-from . import formatting, html_timeline, relay_formatting, request_trace, table_check, table_reading
+from . import (
+    configuration_spread,
+    formatting,
+    html_timeline,
+    relay_formatting,
+    request_trace,
+    table_check,
+    table_reading,
+)
 from .fleet import FleetClient
 
 MAX_WRITE_ATTEMPTS = 20
@@ -53,6 +61,10 @@
     """The log files have no line of a request."""
 
 
+class NoChangeLogged(AuburnhollowError):
+    """The log files have no line of a configuration that came in force."""
+
+
 class ProposedChange:
     """A configuration change to write: the document before and after, its base and its reason."""
 
@@ -369,6 +381,18 @@
             raise UnknownRequest(f"no log line of {request}: logged before these files, or dropped")
         self._print(trace, "\n".join(trace))
 
+    def configuration_spread(self, *files):
+        """Print when the nodes put each version in force, and which was the slowest.
+
+        :param files: log files of all nodes; the standard input if there are none.
+        """
+        spreads = configuration_spread.spread_of(request_trace.read_lines(files or ("-",)))
+        if not spreads:
+            raise NoChangeLogged(
+                "no line 'configuration in force': logged before these files, or below log_level"
+            )
+        self._print(spreads, configuration_spread.format_spread(spreads))
+
     def _progress(self, text):
         if not self._json:
             print(text, file=sys.stderr)
