--- a/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
+++ b/packages/auburnhollow-node/src/auburnhollow_node/relay/node.py
@@ -123,7 +123,7 @@
         self._in_progress = 0
         self.last_requests = LastRequests(self.clock, self._random)
         self._lag = LoopLag(self.clock)
-        self._request_log = RequestLog(self.clock, self.metrics)
+        self._request_log = RequestLog(self.clock, self.metrics, self.standing)
         self.count_connections = None
         self.registry = ServerRegistry(self.clock)
         self.peers = peers or PeerClient(self.metrics, self.clock)
@@ -339,12 +339,21 @@
         self._request_log.answered(request, route, answer, self._version)
         return answer
 
+    def standing(self):
+        """Return what this node knows of its configuration, as log fields."""
+        return self.follower.in_force.to_map(self.follower.age_ms)
+
     def gauges(self):
         """Return the current values of the gauges, by name."""
+        in_force = self.follower.in_force
         return {
             "node.in_progress": self._in_progress,
             "node.is_ready": int(self.is_ready),
             "node.configuration_version": self._version,
+            "node.configuration_age_ms": in_force.age_ms,
+            "node.configuration_heard": in_force.heard_version,
+            "node.followed_era": in_force.era,
+            "node.followed_revision": in_force.revision,
             "node.store_age_ms": self.follower.age_ms,
             "node.store_reachable": int(bool(self.follower.is_reachable)),
             "node.servers": len(self.registry),
