Read everything again at each node whose own watch has missed the version in force

A read that the store refused once was not made again.

Each node now keeps the newest version that its own watch, or a reading of everything, has delivered, and reads everything again when the version in force has not been delivered for an interval; nodes behind watchers wait for two, so that the watchers come first. One successful reading settles a version, also one that only other nodes know. The pause between two comparisons is at least three times what the last one took.

--- a/packages/auburnhollow/src/auburnhollow/follow/comparison.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/comparison.py
@@ -10,14 +10,18 @@
 # With the time that other nodes take to fetch a version, well within the 5 s of a change.
 INTERVAL_MS = 2_500.0
 JITTER = 0.3
+# A large entry on a slow link takes a second or two; other calls need that link too.
+MIN_REST = 3.0
 
 
 class StoreComparison:
     """Finds configurations that the watches of this node, or of all nodes, have not delivered.
 
     A watch says that nothing is left after a position; it can't say that what came before it was
-    delivered. A configuration that the watch has passed over is put in force, other nodes are told
-    of it, and everything is read again, as the watch may have passed over servers too.
+    delivered. A newer configuration in the store is put in force, and other nodes are told of it.
+    A node whose own watch does not deliver the version in force reads everything again, as that
+    watch may have passed over servers too; nodes that watch the store do so before those behind
+    them.
 
     :param follower: :class:`~auburnhollow.follow.Follower`.
     :param feed: the :class:`~auburnhollow.follow.Feed` of the follower.
@@ -26,10 +30,9 @@
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
     """
 
-    __slots__ = ("_awaited", "_clock", "_feed", "_follower", "_metrics", "_random")
+    __slots__ = ("_clock", "_feed", "_follower", "_metrics", "_random")
 
     def __init__(self, follower, feed, clock, random, metrics):
-        self._awaited = None
         self._clock = clock
         self._feed = feed
         self._follower = follower
@@ -38,10 +41,17 @@
 
     async def run(self):
         """Compare from time to time until cancelled."""
+        took_ms = 0.0
         while True:
-            await self._clock.sleep(INTERVAL_MS * self._random.uniform(1 - JITTER, 1 + JITTER))
-            if self._follower.is_reachable and self._follower.is_direct:
+            pause_ms = INTERVAL_MS * self._random.uniform(1 - JITTER, 1 + JITTER)
+            await self._clock.sleep(max(pause_ms, MIN_REST * took_ms))
+            if not self._follower.is_reachable:
+                continue
+            started_ms = self._clock.now_ms()
+            if self._follower.is_direct:
                 await self.compare()
+            took_ms = self._clock.now_ms() - started_ms
+            self._check_delivery()
 
     async def compare(self):
         """Compare once; a store that does not answer is left to the watch."""
@@ -50,22 +60,20 @@
         except StoreUnavailable as error:
             log_decision(log, "not compared", level=logging.DEBUG, error=str(error))
             return
-        awaited = self._awaited
-        self._awaited = None
-        if update is not None and self._follower.take_undelivered(update):
-            if self._follower.has_passed(update.position):
-                self._on_missed(update.position)
-            else:
-                self._awaited = update.position
-        elif awaited is not None and not self._follower.has_passed(awaited):
-            self._on_missed(awaited)
+        if update is not None:
+            self._follower.take_undelivered(update)
 
-    def _on_missed(self, position):
+    def _check_delivery(self):
+        """Read everything again if the watch should have delivered the version in force."""
+        follower = self._follower
+        wait_ms = INTERVAL_MS if follower.is_direct else 2 * INTERVAL_MS
+        if follower.has_delivered or follower.in_force.age_ms < wait_ms:
+            return
         self._metrics.incr("store.missed")
         log_decision(
             log,
-            "watch has missed a configuration, reading the whole store",
+            "watch has missed a configuration, reading everything",
             level=logging.WARNING,
-            position=position,
+            version=follower.routes.version,
         )
-        self._follower.read_again()
+        follower.read_again()
--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -124,6 +124,7 @@
     __slots__ = (
         "_clock",
         "_confirmed_ms",
+        "_delivered_version",
         "_feed",
         "_followed_revision",
         "_incomplete_count",
@@ -167,6 +168,7 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics or Metrics()
+        self._delivered_version = 0
         self._followed_revision = None
         self._incomplete_count = 0
         self._is_checking = False
@@ -208,6 +210,11 @@
         """Whether the last answer came from the store itself rather than from another node."""
         return getattr(self._feed, "is_direct", True)
 
+    @property
+    def has_delivered(self):
+        """Whether the version in force came from a watch, or everything was read since then."""
+        return self._routes is None or self._delivered_version >= self._routes.version
+
     @property
     def source(self):
         """Where updates come from: the store, or another node."""
@@ -272,26 +279,15 @@
         self._set_newest(revision)
 
     def take_undelivered(self, update):
-        """Put a :class:`ConfigurationUpdate` that was not delivered in force, and tell of it.
-
-        :returns: whether it is newer than the configuration in force.
-        """
+        """Put a :class:`ConfigurationUpdate` that was not delivered in force if it is newer."""
         if self._routes is not None and update.table.version <= self._routes.version:
-            return False
+            return
         self.apply_routes(update.table)
         if self.on_version is not None:
             self.on_version(update.table.version, update.position)
-        return True
-
-    def has_passed(self, position):
-        """Return whether the watch has delivered the changes up to a position, as far as it says.
-
-        :param position: as of :mod:`~auburnhollow.follow.positions`.
-        """
-        return self._revision is not None and self._revision >= position
 
     def read_again(self):
-        """Read the whole store now, since the watch may have missed changes."""
+        """Read everything now, since the watch may have missed changes."""
         self._is_reread_due = True
         if self._watch_task is not None:
             self._is_watch_stale = True
@@ -358,6 +354,8 @@
         self._set_revision(view.revision)
         self.change_log.reset(view.revision)
         self._report_versions(view)
+        if self._routes is not None:
+            self._delivered_version = self._routes.version
         self.first_read_done.set()
         if is_restored and self.on_restored is not None:
             self.on_restored()
@@ -396,11 +394,13 @@
         await self._clock.sleep(MIN_RETRY_PAUSE_MS)
 
     def _report_versions(self, view):
-        if self.on_version is None or not self.is_direct:
-            return
         for update in view.updates:
-            if isinstance(update, ConfigurationUpdate):
-                self.on_version(update.table.version, view.revision)
+            if not isinstance(update, ConfigurationUpdate):
+                continue
+            version = update.table.version
+            self._delivered_version = max(version, self._delivered_version)
+            if self.on_version is not None and self.is_direct:
+                self.on_version(version, view.revision)
 
     def _is_restored(self, view):
         """Return whether the store has come back from an older copy since the last view."""
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_comparison.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_comparison.py
@@ -39,12 +39,19 @@
         self.reads = 0
         self.compared = 0
         self.is_down = False
+        self.refused = 0
+        self.read_ms = 0.0
 
     async def read(self):
         self.reads += 1
+        revision = self.revision
+        await self.clock.sleep(self.read_ms)
+        if self.refused:
+            self.refused -= 1
+            raise StoreUnavailable("too many calls")
         updates = [ConfigurationUpdate(table=self.newest.table)]
         updates += [ServerUpdate(server=make_server(name)) for name in self.servers]
-        return StoreView(updates=updates, revision=self.revision)
+        return StoreView(updates=updates, revision=revision)
 
     async def undelivered_configuration(self):
         self.compared += 1
@@ -92,12 +99,43 @@
     async def scenario(feed, follower, _told):
         feed.newest = ConfigurationUpdate(table=make_table(5), position=1)
         feed.servers = ["missed"]
-        await feed.clock.sleep(LONGEST_MS + 10)
+        await feed.clock.sleep(3 * LONGEST_MS)
         return [server.id for server in follower.registry.servers], feed.reads
 
     assert play(scenario) == (["missed"], 2)
 
 
+def test_servers_that_a_watch_missed_are_known_where_another_node_told_of_the_configuration():
+    async def scenario(feed, follower, _told):
+        feed.newest = ConfigurationUpdate(table=make_table(5), position=1)
+        feed.servers = ["missed"]
+        follower.apply_routes(make_table(5), through="10.0.0.1:1")
+        await feed.clock.sleep(3 * LONGEST_MS)
+        return [server.id for server in follower.registry.servers]
+
+    assert play(scenario) == ["missed"]
+
+
+def test_a_store_that_refuses_to_be_read_again_is_asked_later():
+    async def scenario(feed, follower, _told):
+        feed.newest = ConfigurationUpdate(table=make_table(5), position=1)
+        feed.servers = ["missed"]
+        feed.refused = 1
+        await feed.clock.sleep(6 * LONGEST_MS)
+        return [server.id for server in follower.registry.servers], feed.reads
+
+    assert play(scenario) == (["missed"], 3)
+
+
+def test_a_version_that_only_other_nodes_know_is_looked_for_once():
+    async def scenario(feed, follower, _told):
+        follower.apply_routes(make_table(5), through="10.0.0.1:1")
+        await feed.clock.sleep(12 * LONGEST_MS)
+        return follower.routes.version, feed.reads
+
+    assert play(scenario) == (5, 2)
+
+
 def test_a_watch_that_delivers_a_little_later_than_the_comparison_is_not_read_again():
     async def scenario(feed, follower, _told):
         feed.newest = ConfigurationUpdate(table=make_table(5), position=2)
@@ -112,7 +150,7 @@
 def test_a_watch_that_never_reaches_a_configuration_is_read_again():
     async def scenario(feed, follower, _told):
         feed.newest = ConfigurationUpdate(table=make_table(5), position=2)
-        await feed.clock.sleep(2 * LONGEST_MS + 10)
+        await feed.clock.sleep(6 * LONGEST_MS)
         return follower.routes.version, feed.reads
 
     assert play(scenario) == (5, 2)
