Judge a return of the store by what was known when the reading began

Found by the review: a position that another node told of while this node read the store made its answer look older than what was known: the store was taken for one that came back from a copy, servers were kept beyond their time and evidence was written again. Its test failed before.

--- a/packages/auburnhollow/src/auburnhollow/follow/follower.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/follower.py
@@ -337,8 +337,10 @@
     async def _read(self):
         self._is_reread_due = False
         self._metrics.incr("store.reads")
+        # Other nodes may tell of newer positions meanwhile.
+        newest = self._newest_revision
         view = await self._feed.read()
-        is_restored = self._is_restored(view)
+        is_restored = self._is_restored(view, newest)
         self._on_store_reached(view)
         if is_restored:
             log_decision(
@@ -402,12 +404,14 @@
             if self.on_version is not None and self.is_direct:
                 self.on_version(version, view.revision)
 
-    def _is_restored(self, view):
-        """Return whether the store has come back from an older copy since the last view."""
+    def _is_restored(self, view, newest):
+        """Return whether the store has come back from an older copy since the last view.
+
+        :param newest: the newest position that was known when the view was asked for, or ``None``.
+        """
         followed = self._followed_revision
         if followed is not None and era_of(view.revision) > era_of(followed):
             return True
-        newest = self._newest_revision
         if newest is None or view.revision >= newest and era_of(view.revision) == era_of(newest):
             return False
         # A node that is asked instead of the store may just be behind.
--- a/packages/auburnhollow/src/auburnhollow/follow/tests/test_comparison.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/tests/test_comparison.py
@@ -136,6 +136,20 @@
     assert play(scenario) == (5, 2)
 
 
+def test_a_position_that_another_node_tells_of_during_a_read_is_no_return_of_the_store(caplog):
+    async def scenario(feed, follower, _told):
+        feed.read_ms = 100.0
+        follower.read_again()
+        await feed.clock.sleep(20)
+        feed.revision = 2
+        follower.learn_servers([], feed.revision)
+        await feed.clock.sleep(200)
+        return feed.reads
+
+    assert play(scenario) == 2
+    assert "store came back from a copy" not in caplog.text
+
+
 def test_a_watch_that_delivers_a_little_later_than_the_comparison_is_not_read_again():
     async def scenario(feed, follower, _told):
         feed.newest = ConfigurationUpdate(table=make_table(5), position=2)
