Let every node compare by turns in small fleets, and whoever asks the store itself in large ones

In fleets of up to 12 nodes each node now compares by chance, three at a time on average; in larger ones so do nodes that ask the store themselves for want of a watcher. Calls stay as many.

--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -28,7 +28,7 @@
 # independent of each other.
 MAX_DIRECT_NODES = 12
 WATCHERS = 5
-# In smaller fleets, so many nodes compare their configuration with the store's; else all watchers.
+# In smaller fleets, so many nodes at a time compare their configuration with the store's.
 COMPARING_NODES = 3
 RANKING_KEY = "store"
 MAX_KEPT_CHANGES = 400
@@ -338,11 +338,14 @@
         return len(self._membership.answering()) > MAX_DIRECT_NODES
 
     def _compares(self):
-        """Return whether this node compares its configuration with the store's."""
+        """Return whether this node compares its configuration with the store's this time.
+
+        In small fleets all take turns by chance, as the store may refuse some for long.
+        """
         if self._fleet_has_watchers():
-            return self._watchers() is None
-        top_ranked = ranked(RANKING_KEY, self._membership.answering())[:COMPARING_NODES]
-        return self._membership.me.id in top_ranked
+            return self.is_direct or self._watchers() is None
+        count = max(1, len(self._membership.answering()))
+        return self._random.random() < COMPARING_NODES / count
 
     def _ranks_first(self):
         """Return whether this node ranks first in a fleet where every node watches the store.
