Ask again for a version that could not be fetched

Found by the review: a node that hears of a version which its watch has missed asked the node that told of it and three others once; if none answered in time, nothing asked again, and it stayed behind for good with the newer version known by number. It now asks one more node twice, 2 s and 8 s later.

--- a/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
@@ -86,13 +86,14 @@
             evacuations=follower.evacuations.known() or ([] if message.has_evacuations else None),
         )
 
-    async def ask(self):
+    async def ask(self, nodes=NODES_ASKED):
         """Request state from a few random nodes and apply what is newer than the local state.
 
+        :param nodes: how many to ask.
         :returns: how many nodes answered.
         """
         addresses = list(self._addresses())
-        chosen = self._random.sample(addresses, min(NODES_ASKED, len(addresses)))
+        chosen = self._random.sample(addresses, min(nodes, len(addresses)))
         answered = 0
         for address in chosen:
             answered += await self._ask_node(address, ASK_TIMEOUT_MS)
--- a/packages/auburnhollow/src/auburnhollow/follow/version_gossip.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/version_gossip.py
@@ -15,6 +15,9 @@
 RETENTION_MS = 60_000
 # A version reaches all nodes in touch in less time; one that is behind then has missed it.
 GRACE_MS = 1_000.0
+# A node that could not fetch a version asks again after this long, three times as long each time.
+FIRST_RETRY_MS = 2_000.0
+MAX_RETRIES = 2
 
 
 class VersionGossip:
@@ -69,11 +72,14 @@
     def _start_fetch(self, entry, address):
         if not self._is_missed(entry.version, int(entry.key)):
             return
-        task = asyncio.get_running_loop().create_task(self._fetch(entry.version, address))
+        task = asyncio.get_running_loop().create_task(
+            self._fetch(entry.version, int(entry.key), address)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _fetch(self, version, address):
+    async def _fetch(self, version, era, address):
+        """Ask for a version until this node has it or a newer one, a few times at most."""
         exchange = self._state_exchange
         log_decision(
             log,
@@ -85,6 +91,13 @@
         )
         if not await exchange.catch_up(address, version):
             await exchange.ask()
+        pause_ms = FIRST_RETRY_MS
+        for _ in range(MAX_RETRIES):
+            await self._clock.sleep(pause_ms)
+            pause_ms *= 3
+            if not self._is_missed(version, era):
+                return
+            await exchange.ask(nodes=1)
 
     def _is_missed(self, version, era):
         newest = self._follower.newest_revision
