--- /dev/null
+++ b/packages/auburnhollow-node/tests/test_missed_entries.py
@@ -0,0 +1,38 @@
+"""Entries that no watch delivers, without a configuration beside them."""
+
+import pytest
+
+from auburnhollow.follow import EvacuationUpdate, ServerRemoval, ServerUpdate
+from auburnhollow_standins.fake_servers import DATA_CENTRES, make_server
+from auburnhollow_standins.virtual import run_virtually
+from auburnhollow_standins.virtual_relays import ONCE, SINGLE, running_relays
+
+KNOWN_MS = 60_000.0
+
+MISSED = {
+    "a server that starts": ServerUpdate(server=make_server("missed", ONCE, DATA_CENTRES[0])),
+    "a server that is gone": ServerRemoval(id=f"{SINGLE}-0"),
+    "an evacuation": EvacuationUpdate(data_centre=DATA_CENTRES[0], revision=2),
+}
+
+
+@pytest.mark.parametrize("missed", MISSED)
+def test_an_entry_that_no_watch_delivers_is_known_in_the_end(missed):
+    def state(node):
+        servers = {server.id for server in node.registry.servers}
+        return (
+            "missed" in servers,
+            f"{SINGLE}-0" in servers,
+            DATA_CENTRES[0] in node.gate.evacuations,
+        )
+
+    async def scenario():
+        async with running_relays(count=7) as fleet:
+            before = state(fleet.nodes["node-1"])
+            fleet.content.deaf.update(fleet.nodes)
+            await fleet.clock.sleep(6_000.0)
+            fleet.content.later.append(MISSED[missed])
+            await fleet.clock.sleep(KNOWN_MS)
+            return [name for name, node in fleet.nodes.items() if state(node) == before]
+
+    assert run_virtually(scenario()) == []
