Let one node of a small fleet always compare, and pass on no state that a watch has missed parts of

The node that ranks first in a small fleet now always compares, as watchers do; others do so by chance, three at a time on average. A node whose watch has not delivered the version in force passes on its state as not confirmed, so that whoever reads everything goes on to another watcher or the store; waiting longer behind watchers is no longer needed.

--- a/packages/auburnhollow/src/auburnhollow/follow/comparison.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/comparison.py
@@ -20,8 +20,7 @@
     A watch says that nothing is left after a position; it can't say that what came before it was
     delivered. A newer configuration in the store is put in force, and other nodes are told of it.
     A node whose own watch does not deliver the version in force reads everything again, as that
-    watch may have passed over servers too; nodes that watch the store do so before those behind
-    them.
+    watch may have passed over servers too; until it has, it passes on no state as confirmed.
 
     :param follower: :class:`~auburnhollow.follow.Follower`.
     :param feed: the :class:`~auburnhollow.follow.Feed` of the follower.
@@ -66,8 +65,7 @@
     def _check_delivery(self):
         """Read everything again if the watch should have delivered the version in force."""
         follower = self._follower
-        wait_ms = INTERVAL_MS if follower.is_direct else 2 * INTERVAL_MS
-        if follower.has_delivered or follower.in_force.age_ms < wait_ms:
+        if follower.has_delivered or follower.in_force.age_ms < INTERVAL_MS:
             return
         self._metrics.incr("store.missed")
         log_decision(
--- a/packages/auburnhollow/src/auburnhollow/follow/sharing.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/sharing.py
@@ -28,7 +28,7 @@
 # independent of each other.
 MAX_DIRECT_NODES = 12
 WATCHERS = 5
-# In smaller fleets, so many nodes at a time compare their configuration with the store's.
+# So many nodes at a time, of those that need not, compare their configuration with the store's.
 COMPARING_NODES = 3
 RANKING_KEY = "store"
 MAX_KEPT_CHANGES = 400
@@ -340,12 +340,12 @@
     def _compares(self):
         """Return whether this node compares its configuration with the store's this time.
 
-        In small fleets all take turns by chance, as the store may refuse some for long.
+        Watchers always do, or the node that ranks first in a small fleet; the store may refuse
+        these for long, so others do by chance while they ask it themselves.
         """
-        if self._fleet_has_watchers():
-            return self.is_direct or self._watchers() is None
+        is_chosen = self._watchers() is None if self._fleet_has_watchers() else self._ranks_first()
         count = max(1, len(self._membership.answering()))
-        return self._random.random() < COMPARING_NODES / count
+        return is_chosen or self._random.random() < COMPARING_NODES / count
 
     def _ranks_first(self):
         """Return whether this node ranks first in a fleet where every node watches the store.
--- a/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
+++ b/packages/auburnhollow/src/auburnhollow/follow/state_exchange.py
@@ -76,11 +76,13 @@
         if asked is not None and not era_of(asked) and revision is not None:
             # Builds that know of no eras ask by the revision alone.
             asked = position_of(era_of(revision), asked)
-        if follower.age_ms is not None and _is_newer(revision, asked):
+        # A watch that has missed the version in force may have missed servers too.
+        age_ms = follower.age_ms if follower.has_delivered else None
+        if age_ms is not None and _is_newer(revision, asked):
             revision, servers = self._pack_servers(asked)
         return StateAnswer(
             revision=for_asker(revision, message.revision),
-            age_ms=follower.age_ms,
+            age_ms=age_ms,
             table=table,
             servers=servers,
             evacuations=follower.evacuations.known() or ([] if message.has_evacuations else None),
