Send large answers to other nodes one after the other

Cause: a watcher sends the version, 180 kB packed, to all its nodes at once. The transfers share its link, none ends within the time limit of its requester, and those that nobody waits for any more go on using the link. The fleet of the test takes the same turns where it lets answers pass the uplink.

--- a/packages/auburnhollow/src/auburnhollow/peers/server.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/server.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import logging
-from contextlib import aclosing
+from contextlib import aclosing, asynccontextmanager
 
+from ..clock import Clock
 from ..exceptions import AuburnhollowError, ProtocolError
 from .codec import NO_ANSWER_EXPECTED, READ_BYTES, Cancel, Done, Failure, feed, new_unpacker, pack
+from .turns import AnswerTurns
 
 log = logging.getLogger("peers")
 
 # Requests of one connection handled concurrently; further ones stay unread.
 MAX_IN_PROGRESS = 256
+BUSY = Failure(text="this node sends too many large answers")
 
 
 def _cancel(answer_tasks, number):
@@ -24,19 +27,21 @@
     """Receives messages from other nodes and sends the answers of registered handlers.
 
     :param metrics: :class:`~auburnhollow.metrics.Metrics`.
+    :param clock: :class:`~auburnhollow.clock.Clock`.
 
     >>> server.on(Ping, handle_ping)
     >>> await server.start("10.0.0.5", 8100)
     """
 
-    __slots__ = ("_handlers", "_metrics", "_server", "_stream_handlers", "_tasks")
+    __slots__ = ("_handlers", "_metrics", "_server", "_stream_handlers", "_tasks", "_turns")
 
-    def __init__(self, metrics):
+    def __init__(self, metrics, clock=None):
         self._handlers = {}
         self._stream_handlers = {}
         self._metrics = metrics
         self._server = None
         self._tasks = set()
+        self._turns = AnswerTurns(clock or Clock())
 
     def on(self, message_type, handler):
         """Register ``handler`` for messages of one type.
@@ -69,6 +74,20 @@
         for task in list(self._tasks):
             task.cancel()
 
+    @asynccontextmanager
+    async def in_turn(self, answer, number):
+        """Wait for the turn of the answer to request ``number``; yield what is sent, and its bytes.
+
+        That is the answer, or a :class:`Failure` if its turn does not come soon.
+        """
+        data = pack(answer, number)
+        async with self._turns.turn(len(data)) as has_turn:
+            if not has_turn:
+                self._metrics.incr("peers.busy_refusals")
+                answer = BUSY
+                data = pack(answer, number)
+            yield answer, data
+
     async def handle(self, message):
         """Return the answer to one message, a :class:`Failure` if it can't be answered."""
         handler = self._handlers.get(type(message))
@@ -123,7 +142,10 @@
 
     async def _answer(self, writer, message, number):
         if type(message) not in self._stream_handlers:
-            await self._send(writer, await self.handle(message), number)
+            answer = await self.handle(message)
+            if number != NO_ANSWER_EXPECTED:
+                async with self.in_turn(answer, number) as (_answer, data):
+                    await self._send_bytes(writer, data)
             return
         try:
             async with aclosing(self.answers(message)) as answers:
@@ -136,9 +158,12 @@
             await self._send(writer, Failure(text=f"{type(error).__name__}: {error}"), number)
 
     async def _send(self, writer, answer, number):
-        if number == NO_ANSWER_EXPECTED or writer.is_closing():
+        if number != NO_ANSWER_EXPECTED:
+            await self._send_bytes(writer, pack(answer, number))
+
+    async def _send_bytes(self, writer, data):
+        if writer.is_closing():
             return
-        data = pack(answer, number)
         self._metrics.incr("peers.sent_bytes", len(data))
         writer.write(data)
         try:
--- a/packages/auburnhollow/src/auburnhollow/peers/tests/test_peers.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/tests/test_peers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from auburnhollow.exceptions import PeerError, ProtocolError
+from auburnhollow.exceptions import PeerError, PeerRefused, ProtocolError
 from auburnhollow.membership.messages import Ack, Ping
 from auburnhollow.metrics import Metrics
 from auburnhollow.peers import PeerClient, PeerServer, pack
@@ -54,6 +54,26 @@
     asyncio.run(run())
 
 
+def test_large_answers_are_whole_or_refused_and_small_ones_go_on():
+    async def run():
+        async with ClientAndServer() as pair:
+
+            async def answer(message):
+                entries = ["x" * 500_000] if message.digest % 2 else []
+                return Ping(sender="other", digest=message.digest, entries=entries)
+
+            pair.server.on(Ping, answer)
+            asks = [pair.ask(number) for number in range(40)]
+            return await asyncio.gather(*asks, return_exceptions=True)
+
+    answers = asyncio.run(run())
+    assert [answer.digest for answer in answers[::2]] == list(range(0, 40, 2))
+    for number, answer in enumerate(answers[1::2]):
+        if isinstance(answer, PeerRefused):
+            continue
+        assert (answer.digest, len(answer.entries[0])) == (2 * number + 1, 500_000)
+
+
 def test_a_message_without_a_handler_raises_a_peer_error():
     async def run():
         async with ClientAndServer() as pair:
--- a/standins/src/auburnhollow_standins/follow_fleet.py
+++ b/standins/src/auburnhollow_standins/follow_fleet.py
@@ -20,7 +20,7 @@
 from auburnhollow.follow.version_gossip import VersionGossip
 from auburnhollow.membership import ALIVE, Member
 from auburnhollow.metrics import Metrics
-from auburnhollow.peers import Peers, PeerServer, pack
+from auburnhollow.peers import Peers, PeerServer
 from auburnhollow.peers.codec import Failure
 from auburnhollow.servers import ServerRegistry
 
@@ -33,6 +33,7 @@
 WATCH_SLACK_MS = 1_000.0
 CHUNK_BYTES = 8_192
 BITS_PER_BYTE = 8
+ANSWER_NUMBER = 1
 MS_PER_SECOND = 1_000.0
 # Other nodes notice within this time that a node has gone silent, and that it is back.
 NOTICED_MS = (700.0, 2_500.0)
@@ -348,7 +349,8 @@
         answer = answering.result()
         await node.clock.until_resumed()
         if self._fleet.mbit_per_s is not None:
-            await node.uplink.carry(len(pack(answer)))
+            async with node.server.in_turn(answer, ANSWER_NUMBER) as (answer, data):
+                await node.uplink.carry(len(data))
         await base.sleep(ONE_WAY_MS)
         return answer
 
@@ -423,7 +425,7 @@
         self.follower = Follower(
             self.feed, ServerRegistry(self.clock), self.clock, rng, self._on_routes
         )
-        self.server = PeerServer(Metrics())
+        self.server = PeerServer(Metrics(), self.clock)
         self.server.on(ChangesAsk, ChangeServer(self.follower, self.feed, self.clock).answer)
         exchange = StateExchange(
             self.follower, peers, lambda: fleet.addresses_but(self.name), rng, self.clock
