Renew the watches of the configuration

Cause: a watch that has passed a change over does not deliver it later. Change: a watch is replaced every 3 s by one from the newest revision that was delivered, which delivers what was missed; everything is read again every 60 s, as before after an idle watch. Cost: one watch call in 3 s for each of the three watchers, whatever the fleet.

--- a/packages/auburnhollow/src/auburnhollow/backing/store.py
+++ b/packages/auburnhollow/src/auburnhollow/backing/store.py
@@ -160,7 +160,10 @@
                 if response.status != 200:
                     raise StoreUnavailable(f"watch of {key}: status {response.status}")
                 async for line in response.content:
-                    for event in orjson.loads(line).get("result", {}).get("events", ()):
+                    result = orjson.loads(line).get("result", {})
+                    if result.get("canceled"):
+                        raise StoreUnavailable(f"watch of {key}: canceled by the store")
+                    for event in result.get("events", ()):
                         yield _key_value(event["kv"])
         except aiohttp.SocketTimeoutError:
             return
--- a/packages/auburnhollow/src/auburnhollow/backing/tests/test_store.py
+++ b/packages/auburnhollow/src/auburnhollow/backing/tests/test_store.py
@@ -228,6 +228,20 @@
     asyncio.run(run())
 
 
+def test_a_watch_that_the_store_cancels_raises():
+    async def cancel(_request):
+        return web.json_response({"result": {"canceled": True, "compact_revision": "9"}})
+
+    async def run():
+        app = web.Application()
+        app.router.add_post("/v3/watch", cancel)
+        async with serve(app) as url, aiohttp.ClientSession() as session:
+            with pytest.raises(StoreUnavailable, match="canceled"):
+                await anext(HttpStore(session, url).watch("a", 3))
+
+    asyncio.run(run())
+
+
 def test_writes_share_a_lease():
     async def run():
         standin = StoreStandin(delay_ms=0.0)
--- a/packages/auburnhollow/src/auburnhollow/configuration/sync.py
+++ b/packages/auburnhollow/src/auburnhollow/configuration/sync.py
@@ -18,6 +18,10 @@
 PEERS_TO_ASK = 3
 MAX_CONCURRENT_FETCHES = 3
 WATCH_CHECK_MS = 500.0
+# A change that a watch does not deliver is delivered by the next one.
+WATCH_RENEWAL_MS = 3_000.0
+# A store that has come back from a copy gives out earlier revisions, which no watch delivers.
+READ_INTERVAL_MS = 60_000.0
 FIRST_PAUSE_MS = 250.0
 MAX_PAUSE_MS = 2_000.0
 RANK_SUBJECT = "watch"
@@ -130,20 +134,33 @@
         if revision is None:
             await self.ask_peers()
             raise StoreError("the store can't be read")
-        changes = self._store.watch(CURRENT_KEY, revision)
-        watch_task = asyncio.ensure_future(self._offer_changes(changes))
+        read_again_ms = self._clock.now_ms() + READ_INTERVAL_MS
+        while self.is_watcher and revision is not None and self._clock.now_ms() < read_again_ms:
+            revision = await self._watch_after(revision)
+
+    async def _watch_after(self, revision):
+        """Follow changes after ``revision`` until the watch is due for renewal.
+
+        :returns: the newest revision delivered, or ``None`` if the watch has ended by itself.
+        """
+        watch = _Watch(self._store.watch(CURRENT_KEY, revision), revision)
+        watch_task = asyncio.ensure_future(self._offer_changes(watch))
+        renewal_ms = self._clock.now_ms() + WATCH_RENEWAL_MS
         try:
-            while not watch_task.done() and self.is_watcher:
+            while self.is_watcher and self._clock.now_ms() < renewal_ms:
                 await asyncio.wait({watch_task}, timeout=WATCH_CHECK_MS / 1000)
-            if watch_task.done():
-                watch_task.result()
+                if watch_task.done():
+                    watch_task.result()
+                    return None
+            return watch.revision
         finally:
             watch_task.cancel()
             await asyncio.gather(watch_task, return_exceptions=True)
 
-    async def _offer_changes(self, changes):
-        async for entry in changes:
+    async def _offer_changes(self, watch):
+        async for entry in watch.changes:
             self._configuration_holder.offer(entry.value, FROM_STORE)
+            watch.revision = max(watch.revision, entry.revision)
 
     def _publish(self, stored):
         entry = GossipEntry(
@@ -187,3 +204,13 @@
         if answer.data is None:
             return False
         return self._configuration_holder.offer(answer.data, FROM_PEER)
+
+
+class _Watch:
+    """A watch of the store and the newest ``revision`` that it has delivered."""
+
+    __slots__ = ("changes", "revision")
+
+    def __init__(self, changes, revision):
+        self.changes = changes
+        self.revision = revision
