--- a/bench/endless.py
+++ b/bench/endless.py
@@ -8,7 +8,6 @@
 import asyncio
 import multiprocessing
 import time
-from pathlib import Path
 
 from auburnhollow.backends.connections import AnswerMemory
 from auburnhollow.exceptions import BackendError
@@ -20,6 +19,7 @@
     ReplicaClient,
     open_session,
 )
+from auburnhollow_platform_standin.node import peak_memory_mb
 from auburnhollow_platform_standin.replica import Replica, build_response, get_header
 
 from .results import format_table
@@ -29,7 +29,6 @@
 DEADLINE_MS = 3_000.0
 SOUND_INTERVAL_MS = 50.0
 TICK_S = 0.001
-BYTES_PER_KB = 1_024
 COLUMNS = (
     "kind",
     "calls",
@@ -119,14 +118,6 @@
     )
 
 
-def _peak_memory_mb():
-    """Return the most memory that this process has had; Linux only."""
-    for line in Path("/proc/self/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return round(int(line.split()[1]) / BYTES_PER_KB)
-    raise RuntimeError("the peak of the memory is not known")
-
-
 async def _measure_stalls(stalls):
     while True:
         began_s = time.perf_counter()
@@ -184,7 +175,7 @@
     return {
         "kind": kind,
         "calls": calls,
-        "memory_mb": _peak_memory_mb(),
+        "memory_mb": peak_memory_mb(),
         "stall_ms": round(max(stalls) * 1_000),
         "cut": len(ends_ms),
         "last_cut_ms": round(max(ends_ms, default=0.0)),
