End the turn of a large answer that is not read

Seen by reading: a requester that is suspended or cut off leaves its answer in the socket's buffer; two of them kept both turns, and the node refused all large answers until the connections ended. Change: a turn ends after a second, though its answer may still be on its way. test_a_requester_that_stops_reading_does_not_keep_its_turn: without the change none of its four answers gets a turn.

--- a/packages/auburnhollow/src/auburnhollow/peers/tests/test_turns.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/tests/test_turns.py
@@ -6,7 +6,7 @@
 
 from auburnhollow_standins.virtual import VirtualClock, run_virtually
 
-from ..turns import LARGE_BYTES, MAX_LARGE_ANSWERS, MAX_WAIT_MS, AnswerTurns
+from ..turns import LARGE_BYTES, MAX_LARGE_ANSWERS, MAX_TURN_MS, MAX_WAIT_MS, AnswerTurns
 
 
 def play(sizes, transfer_ms):
@@ -72,3 +72,45 @@
             return has_turn
 
     assert run_virtually(run())
+
+
+def test_a_requester_that_stops_reading_does_not_keep_its_turn():
+    async def run():
+        clock = VirtualClock()
+        turns = AnswerTurns(clock)
+
+        async def send(transfer_ms):
+            async with turns.turn(LARGE_BYTES) as has_turn:
+                await clock.sleep(transfer_ms)
+                return has_turn
+
+        silent = [asyncio.ensure_future(send(600_000.0)) for _ in range(MAX_LARGE_ANSWERS)]
+        await clock.sleep(MAX_TURN_MS + 1.0)
+        sent = await asyncio.gather(*(send(10.0) for _ in range(4)))
+        for each in silent:
+            each.cancel()
+        await asyncio.gather(*silent, return_exceptions=True)
+        # Turns that have ended are not given back again.
+        later, most = play_on(turns, clock)
+        return sent, await later, most()
+
+    sent, later, most = run_virtually(run())
+    assert sent == [True] * 4
+    assert later == [True] * 4
+    assert most == MAX_LARGE_ANSWERS
+
+
+def play_on(turns, clock):
+    """Send four large answers; return what to await for their turns, and the most at a time."""
+    counts = [0]
+    sending = []
+
+    async def send():
+        async with turns.turn(LARGE_BYTES) as has_turn:
+            sending.append(1)
+            counts.append(len(sending))
+            await clock.sleep(10.0)
+            sending.pop()
+            return has_turn
+
+    return asyncio.gather(*(send() for _ in range(4))), lambda: max(counts)
--- a/packages/auburnhollow/src/auburnhollow/peers/turns.py
+++ b/packages/auburnhollow/src/auburnhollow/peers/turns.py
@@ -8,16 +8,22 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+from ..clock import MS_PER_SECOND
+
 # Smaller answers, such as those of subqueries, are never delayed.
 LARGE_BYTES = 65_536
 MAX_LARGE_ANSWERS = 2
 # Requesters wait 500 ms or more for an answer, and its transfer takes a part of that.
 MAX_WAIT_MS = 250.0
+# A requester that has stopped reading must not keep the turn.
+MAX_TURN_MS = 1_000.0
 
 
 class AnswerTurns:
     """Lets a few large answers be sent at a time, in the order in which they were ready.
 
+    A turn ends after ``MAX_TURN_MS`` even if its answer is still being sent.
+
     :param clock: :class:`~auburnhollow.clock.Clock`.
 
     >>> async with turns.turn(len(data)) as has_turn:
@@ -48,7 +54,26 @@
         except TimeoutError:
             yield False
             return
+        turn = _Turn(self._free)
+        timer = asyncio.get_running_loop().call_later(MAX_TURN_MS / MS_PER_SECOND, turn.end)
         try:
             yield True
         finally:
+            timer.cancel()
+            turn.end()
+
+
+class _Turn:
+    """A turn, which ends once."""
+
+    __slots__ = ("_free", "_is_over")
+
+    def __init__(self, free):
+        self._free = free
+        self._is_over = False
+
+    def end(self):
+        """Give the turn back."""
+        if not self._is_over:
+            self._is_over = True
             self._free.release()
