--- a/packages/auburnhollow/src/auburnhollow/backends/tests/test_connections.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/tests/test_connections.py
@@ -126,6 +126,16 @@
         """Do nothing."""
 
 
+def start_answer():
+    """Return a connection that waits for an answer, and its transport."""
+    memory = AnswerMemory(24 * 1024 * 1024)
+    handler = BoundedResponseHandler(asyncio.get_running_loop(), 4 * 1024 * 1024, memory)
+    transport = FakeTransport()
+    handler.connection_made(transport)
+    handler.set_response_params()
+    return handler, transport
+
+
 def receive(data):
     """Hand an answer with chunks to a connection, as one read of its socket.
 
@@ -133,12 +143,7 @@
     """
 
     async def run():
-        handler = BoundedResponseHandler(
-            asyncio.get_running_loop(), 4 * 1024 * 1024, AnswerMemory(24 * 1024 * 1024)
-        )
-        transport = FakeTransport()
-        handler.connection_made(transport)
-        handler.set_response_params()
+        handler, transport = start_answer()
         handler.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + data)
         _message, payload = await handler.read()
         return transport.is_aborted, payload.total_bytes, payload.is_eof()
@@ -175,12 +180,7 @@
 
 def test_a_head_without_end_is_cut_after_little_work():
     async def run():
-        handler = BoundedResponseHandler(
-            asyncio.get_running_loop(), 4 * 1024 * 1024, AnswerMemory(24 * 1024 * 1024)
-        )
-        transport = FakeTransport()
-        handler.connection_made(transport)
-        handler.set_response_params()
+        handler, transport = start_answer()
         handler.data_received(b"HTTP/1.1 200 OK\r\n")
         lines = 0
         while not transport.is_aborted and lines < 1_000:
@@ -209,11 +209,7 @@
     body = b"x" * (2 * 1024 * 1024)
 
     async def run():
-        handler = BoundedResponseHandler(
-            asyncio.get_running_loop(), 4 * 1024 * 1024, AnswerMemory(24 * 1024 * 1024)
-        )
-        handler.connection_made(FakeTransport())
-        handler.set_response_params()
+        handler, _transport = start_answer()
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 2097152\r\n\r\n" + body
         if is_chunked:
             head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
