Divide a call's time by the queue that it met

Cause: the time that a server takes for a request was a call's time divided by the queue at its end. While a queue grows that is far longer than the one that the call met, so a slow server passed for a fast one, and its queue for one that drains soon. Change: the queues that a server reported are kept, and the one before the call was sent counts; without such a report the one at the end, as before. Other tests of admission pass.

--- a/packages/auburnhollow/src/auburnhollow/admission/room.py
+++ b/packages/auburnhollow/src/auburnhollow/admission/room.py
@@ -1,6 +1,7 @@
 """How long requests wait at backend servers, from the load that these report."""
 
 import math
+from collections import deque
 
 # Reports of other calls arrive about this often at a busy server; the queue hardly changes by then.
 FRESH_MS = 100.0
@@ -14,6 +15,8 @@
 ROUTE_SMOOTHING = 0.02
 # Slow calls take about twice the typical time, and a request ends with the slowest of its calls.
 TAIL = 2.0
+# Covers the reports of a busy server while one call waits there.
+MAX_PAST_QUEUES = 64
 
 
 class Report:
@@ -50,6 +53,7 @@
         "_busy_until_ms",
         "_clock",
         "_count_nodes",
+        "_past_queues",
         "_reports",
         "_route_ms",
         "_service_ms",
@@ -60,6 +64,7 @@
     def __init__(self, clock, count_nodes=lambda: 1):
         self._clock = clock
         self._count_nodes = count_nodes
+        self._past_queues = {}
         self._reports = {}
         self._route_ms = {}
         self._service_ms = {}
@@ -84,7 +89,11 @@
         incarnation = server.incarnation
         now_ms = self._clock.now_ms()
         queue = max(0, load - server.slots)
-        sample_ms = max(MIN_SAMPLE_MS, work_ms) / (1.0 + queue / server.slots)
+        # A call waits for the queue that it meets; the one at its end may be much longer.
+        met_queue = self._queue_at(incarnation, now_ms - work_ms, queue)
+        sample_ms = max(MIN_SAMPLE_MS, work_ms) / (1.0 + met_queue / server.slots)
+        past_queues = self._past_queues.setdefault(incarnation, deque(maxlen=MAX_PAST_QUEUES))
+        past_queues.append((now_ms, queue))
         self._service_ms[incarnation] = _smoothed(self._service_ms.get(incarnation), sample_ms)
         route_ms = _smoothed(self._route_ms.get(route_name), sample_ms, ROUTE_SMOOTHING)
         self._route_ms[route_name] = route_ms
@@ -135,10 +144,17 @@
     def forget(self, servers):
         """Drop what is known of all servers except these."""
         kept = {server.incarnation for server in servers}
-        for known in (self._reports, self._service_ms, self._slowness):
+        for known in (self._past_queues, self._reports, self._service_ms, self._slowness):
             for incarnation in [each for each in known if each not in kept]:
                 del known[incarnation]
 
+    def _queue_at(self, incarnation, at_ms, default):
+        """Return the queue that a server had last reported at a time, or ``default``."""
+        for heard_ms, queue in reversed(self._past_queues.get(incarnation, ())):
+            if heard_ms <= at_ms:
+                return queue
+        return default
+
     def _server_queue_ms(self, server, work_ms):
         report = self._reports.get(server.incarnation)
         service_ms = self._service_ms.get(server.incarnation)
