--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,19 +2,7 @@
 
 import fire
 
-from . import (
-    calls,
-    capacity,
-    claims,
-    documents,
-    endless,
-    histories,
-    load,
-    real,
-    recovery,
-    scale,
-    scenario,
-)
+from . import calls, capacity, claims, documents, histories, load, real, recovery, scale, scenario
 
 
 class Bench:
@@ -44,10 +32,6 @@
         """Size of a configuration and the cost for a node to apply it."""
         documents.run(_numbers(sizes))
 
-    def endless(self, calls=endless.CALL_COUNTS):
-        """Memory and stalls while servers send bytes without end to many calls."""
-        endless.run(_numbers(calls))
-
     def histories(self, first=0, count=histories.DEFAULT_COUNT):
         """Histories of orders under random faults: violations and callers' final results."""
         histories.run(first, count)
