--- a/packages/auburnhollow/src/auburnhollow/backends/connections.py
+++ b/packages/auburnhollow/src/auburnhollow/backends/connections.py
@@ -10,7 +10,7 @@
 
 # Interim responses (1xx) are few; each costs time of the event loop.
 MAX_HEADS = 32
-# A platform's limit on heads is a quarter of this or less.
+# Heads, interim responses and what follows an answer; sound ones are a few kB.
 MAX_HEAD_BYTES = 65_536
 # So much is parsed between two checks of what it has brought.
 PIECE_BYTES = 2_048
